--- /dev/null
+++ b/eelgrassgate/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs kept whole in the store: accepted, run, listed, ended."""
--- /dev/null
+++ b/eelgrassgate/batches/owner.py
@@ -0,0 +1,461 @@
+"""Takes on open jobs, runs their items between online requests."""
+
+from collections.abc import Callable
+import time
+from typing import Final
+
+import anyio
+from anyio import abc
+import msgspec
+import xxhash
+
+from eelgrassgate import deadlines
+from eelgrassgate import logs
+from eelgrassgate import outcomes
+from eelgrassgate.batches import items
+from eelgrassgate.batches import ownership
+from eelgrassgate.batches import records
+from eelgrassgate.batches import scheduling
+from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.http1 import upstream
+from eelgrassgate.peering import loads
+from eelgrassgate.peering import registry
+from eelgrassgate.store import base
+from eelgrassgate.store import mirror
+
+# How often items are placed; reports of load come about as often.
+STEP_S: Final = 0.05
+# Results that end together are listed by one call, since calls are priced.
+GATHER_S: Final = 0.25
+# How long each next member in line waits for the one before it to claim.
+CLAIM_TURN_S: Final = 0.6
+# Pause of an item after a run that did not count.
+RETRY_S: Final = 0.2
+STORE_RETRY_S: Final = 0.3
+# Items that one process runs at once; bounds its memory and its connections.
+MOST_RUNNING: Final = 200
+
+
+class _Run(msgspec.Struct):
+    """One item that runs.
+
+    Attributes:
+        owned: Its job.
+        progress: Its output.
+        endpoint: Where it runs.
+        scope: Cancels it.
+        began: When it began.
+        gives_way: Whether it was stopped for an online request.
+    """
+
+    owned: ownership.OwnedJob
+    progress: items.Progress
+    endpoint: catalog.Endpoint
+    scope: anyio.CancelScope
+    began: float
+    gives_way: bool = False
+
+
+class Owner:
+    """Runs the jobs that this process has claimed."""
+
+    def __init__(
+        self,
+        store: base.Store,
+        watched: mirror.Mirror,
+        member: registry.Member,
+        directory: registry.Directory,
+        registration: registry.Registration,
+        dialect: calls.Dialect,
+        pool: upstream.Pool,
+        placement: placement_lib.Placement,
+        table: loads.Loads,
+        read_catalog: Callable[[], catalog.Catalog],
+    ) -> None:
+        """Create an owner; see `create_owner`."""
+        self._store = store
+        self._watched = watched
+        self._member = member
+        self._directory = directory
+        self._registration = registration
+        self._dialect = dialect
+        self._pool = pool
+        self._placement = placement
+        self._loads = table
+        self._read_catalog = read_catalog
+        self._jobs_by_id: dict[str, records.Job] = {}
+        self._closed: set[str] = set()
+        self._free_since_by_job: dict[str, float] = {}
+        self._owned_by_id: dict[str, ownership.OwnedJob] = {}
+        self._runs: list[_Run] = []
+        self._paused_until_by_item: dict[str, float] = {}
+        self._lease = 0
+        self.is_draining = False
+        watched.subscribe(self._take)
+
+    def _take(self, changes: tuple[base.Change, ...]) -> None:
+        """Follow jobs, heads, claims and ends."""
+        for change in changes:
+            kind, job = _split_key(change.key)
+            if kind == records.JOBS:
+                if change.value is None:
+                    self._jobs_by_id.pop(job, None)
+                else:
+                    self._jobs_by_id[job] = records.decode_job(change.value)
+            elif kind == records.HEADS and change.value is not None:
+                if records.decode_head(change.value).is_closed:
+                    self._closed.add(job)
+            elif kind == records.ENDS and change.value is not None:
+                self._closed.add(job)
+                self._end(job)
+
+    def _end(self, job: str) -> None:
+        owned = self._owned_by_id.pop(job, None)
+        if owned is None:
+            return
+        owned.is_ended = True
+        for run in self._runs:
+            if run.owned is owned:
+                run.scope.cancel()
+        logs.say("job ended by its caller", job=job)
+
+    def count_running(self) -> int:
+        """Return how many items run here."""
+        return len(self._runs)
+
+    def count_uncommitted(self) -> int:
+        """Return how many results are not listed yet."""
+        return sum(len(one.ended) for one in self._owned_by_id.values())
+
+    async def run(self) -> None:
+        """Own jobs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._follow_lease()
+                if not self.is_draining:
+                    self._claim_free(tasks)
+                    self._start_items(tasks)
+                self._give_way()
+                await anyio.sleep(STEP_S)
+
+    def _follow_lease(self) -> None:
+        """Claims end with the lease that they were made under."""
+        if self._registration.lease == self._lease:
+            return
+        self._lease = self._registration.lease
+        for owned in self._owned_by_id.values():
+            owned.forget_claim()
+
+    def _claim_free(self, tasks: abc.TaskGroup) -> None:
+        """Take on open jobs that nobody holds and that are this member's."""
+        if not self._lease or not self._watched.is_connected:
+            return
+        now = deadlines.now()
+        members = self._directory.get_names(registry.Role.BATCH)
+        for name, job in list(self._jobs_by_id.items()):
+            if name in self._closed or name in self._owned_by_id:
+                continue
+            if f"{records.CLAIMS}{name}" in self._watched.records_by_key:
+                self._free_since_by_job.pop(name, None)
+                continue
+            since = self._free_since_by_job.setdefault(name, now)
+            order = scheduling.choose_owner(name, members, _weigh)
+            turn = len(order)
+            if self._member.name in order:
+                turn = order.index(self._member.name)
+            if now - since >= turn * CLAIM_TURN_S:
+                owned = ownership.create_owned_job(self._store, job)
+                self._owned_by_id[name] = owned
+                tasks.start_soon(self._hold, name, owned, tasks)
+
+    async def _hold(
+        self,
+        name: str,
+        owned: ownership.OwnedJob,
+        tasks: abc.TaskGroup,
+    ) -> None:
+        """Claim a job, list its results, until it is closed or lost."""
+        is_loaded = False
+        try:
+            while owned.has_work_left() and not owned.is_ended:
+                try:
+                    if not owned.is_claimed():
+                        await self._claim(owned)
+                    if not is_loaded:
+                        await owned.load()
+                        is_loaded = True
+                        logs.say(
+                            "job taken on",
+                            job=name,
+                            left=len(owned.waiting),
+                            total=owned.job.total,
+                        )
+                    await self._list_results(owned)
+                except ownership.StoreFailedError as error:
+                    logs.say(
+                        "job waits for the store", job=name, reason=str(error)
+                    )
+                    await anyio.sleep(STORE_RETRY_S)
+        except ownership.LostError as error:
+            logs.say("job lost", job=name, reason=str(error))
+            self._cancel_runs(owned)
+        finally:
+            if self._owned_by_id.get(name) is owned:
+                del self._owned_by_id[name]
+            self._free_since_by_job.pop(name, None)
+        if not owned.has_work_left():
+            self._closed.add(name)
+
+    async def _claim(self, owned: ownership.OwnedJob) -> None:
+        """Claim a job.
+
+        Raises:
+            ownership.LostError: Another process has it.
+            ownership.StoreFailedError: The store gave no answer.
+        """
+        lease = self._registration.lease
+        if not lease:
+            raise ownership.StoreFailedError("no lease")
+        if not await owned.claim(self._member.name, lease):
+            raise ownership.LostError("another process holds the claim")
+        self._lease = self._registration.lease
+        if lease != self._lease:
+            owned.forget_claim()
+
+    async def _list_results(self, owned: ownership.OwnedJob) -> None:
+        """Wait for results and list them."""
+        owned.give_up_late()
+        if not owned.has_news():
+            await anyio.sleep(STEP_S)
+            return
+        if not owned.is_whole():
+            await anyio.sleep(GATHER_S)
+        if owned.is_claimed():
+            await owned.commit()
+
+    def _cancel_runs(self, owned: ownership.OwnedJob) -> None:
+        for run in self._runs:
+            if run.owned is owned:
+                run.scope.cancel()
+
+    def _start_items(self, tasks: abc.TaskGroup) -> None:
+        """Start waiting items where there is room, those due first."""
+        now = time.time()
+        waiting = [
+            (scheduling.rank(owned.job.due, owned.claimed, now), owned)
+            for owned in self._owned_by_id.values()
+            if owned.waiting and owned.is_claimed()
+        ]
+        waiting.sort(key=lambda one: one[0])
+        starts_by_endpoint: dict[str, int] = {}
+
+        def may_use(endpoint: catalog.Endpoint) -> bool:
+            if endpoint.zone == self._member.zone:
+                return True
+            started = starts_by_endpoint.get(endpoint.id, 0)
+            return started < scheduling.AWAY_STARTS
+
+        for _, owned in waiting:
+            for progress in list(owned.waiting):
+                if len(self._runs) >= MOST_RUNNING:
+                    return
+                if not self._is_due(progress):
+                    continue
+                route = self._find_route(owned, progress)
+                if route is None:
+                    continue
+                endpoint = scheduling.find_room(
+                    self._placement,
+                    self._loads,
+                    route.targets[0].service,
+                    may_use=may_use,
+                )
+                if endpoint is None:
+                    break
+                starts = starts_by_endpoint.get(endpoint.id, 0)
+                starts_by_endpoint[endpoint.id] = starts + 1
+                self._start(tasks, owned, progress, endpoint, route)
+
+    def _is_due(self, progress: items.Progress) -> bool:
+        until = self._paused_until_by_item.get(progress.item.id)
+        if until is None or deadlines.is_past(until):
+            self._paused_until_by_item.pop(progress.item.id, None)
+            return True
+        return False
+
+    def _find_route(
+        self, owned: ownership.OwnedJob, progress: items.Progress
+    ) -> catalog.Route | None:
+        """Return the route of an item; without one it can't be done."""
+        present = self._read_catalog()
+        if not present.version:
+            return None
+        path = progress.item.path.partition("?")[0]
+        route = present.find_route(owned.job.host, path)
+        if route is None:
+            owned.waiting.remove(progress)
+            owned.end(progress, records.DEAD_LETTER, "no route")
+        return route
+
+    def _start(
+        self,
+        tasks: abc.TaskGroup,
+        owned: ownership.OwnedJob,
+        progress: items.Progress,
+        endpoint: catalog.Endpoint,
+        route: catalog.Route,
+    ) -> None:
+        owned.waiting.remove(progress)
+        owned.running[progress.item.id] = progress
+        run = _Run(
+            owned, progress, endpoint, anyio.CancelScope(), deadlines.now()
+        )
+        self._runs.append(run)
+        held = self._loads.hold(endpoint.id, outcomes.Class.BATCH)
+        held.__enter__()
+        tasks.start_soon(self._run_item, run, held, route)
+
+    async def _run_item(
+        self, run: _Run, held: object, route: catalog.Route
+    ) -> None:
+        outcome = items.Outcome.BROKEN
+        reason = "stopped"
+        deadline = items.compute_deadline(run.owned.job.kept_until, time.time())
+        try:
+            with run.scope:
+                outcome, reason = await items.run(
+                    self._pool,
+                    self._dialect,
+                    run.endpoint,
+                    run.owned.job.host,
+                    run.owned.job.workspace,
+                    deadline,
+                    run.progress,
+                )
+        finally:
+            held.__exit__(None, None, None)  # type: ignore[attr-defined]
+            self._runs.remove(run)
+            run.owned.running.pop(run.progress.item.id, None)
+        self._settle(run, outcome, reason, route)
+
+    def _settle(
+        self,
+        run: _Run,
+        outcome: items.Outcome,
+        reason: str,
+        route: catalog.Route,
+    ) -> None:
+        """Decide what follows from how a run ended."""
+        progress = run.progress
+        is_cancelled = run.scope.cancel_called
+        logs.say(
+            "run",
+            job=run.owned.id,
+            id=progress.item.id,
+            endpoint=run.endpoint.id,
+            result="gave way" if run.gives_way else outcome.value,
+            reason=reason,
+            last_event=progress.last_event,
+            took_ms=round((deadlines.now() - run.began) * 1000),
+        )
+        if run.owned.is_ended:
+            return
+        if outcome is items.Outcome.COMPLETE:
+            self._placement.note_success(run.endpoint)
+            run.owned.end(progress, records.COMPLETED, reason)
+            return
+        if outcome is items.Outcome.IMPOSSIBLE:
+            run.owned.end(progress, records.DEAD_LETTER, reason)
+            return
+        if outcome is items.Outcome.FAILED:
+            progress.failures += 1
+            if progress.failures >= route.max_attempts:
+                run.owned.end(progress, records.DEAD_LETTER, reason)
+                return
+        if not is_cancelled:
+            self._paused_until_by_item[progress.item.id] = deadlines.after(
+                RETRY_S
+            )
+            if outcome in {items.Outcome.NOT_SENT, items.Outcome.BROKEN}:
+                self._placement.note_failure(run.endpoint)
+        run.owned.waiting.insert(0, progress)
+
+    def _give_way(self) -> None:
+        """Stop items where online requests fill the slots."""
+        by_endpoint: dict[str, list[_Run]] = {}
+        for run in self._runs:
+            by_endpoint.setdefault(run.endpoint.id, []).append(run)
+        for runs in by_endpoint.values():
+            excess = scheduling.count_excess(self._loads, runs[0].endpoint)
+            stopping = sum(run.gives_way for run in runs)
+            # The item that has run for the shortest time loses least.
+            runs.sort(key=lambda run: run.began, reverse=True)
+            for run in runs:
+                if stopping >= excess:
+                    break
+                if not run.gives_way:
+                    run.gives_way = True
+                    run.scope.cancel()
+                    stopping += 1
+
+    async def drain(self, until: float) -> None:
+        """Start nothing more; wait for what runs until `until`, then stop."""
+        self.is_draining = True
+        while not deadlines.is_past(until):
+            if not self._runs and not self.count_uncommitted():
+                return
+            await anyio.sleep(STEP_S)
+        logs.say("drain cut", running=len(self._runs))
+
+
+def _split_key(key: str) -> tuple[str, str]:
+    for kind in (records.JOBS, records.HEADS, records.ENDS, records.CLAIMS):
+        if key.startswith(kind):
+            return kind, key.removeprefix(kind)
+    return "", ""
+
+
+def _weigh(member: str, job: str) -> int:
+    return int(xxhash.xxh64_intdigest(f"{member} {job}".encode()))
+
+
+def create_owner(
+    store: base.Store,
+    watched: mirror.Mirror,
+    member: registry.Member,
+    directory: registry.Directory,
+    registration: registry.Registration,
+    dialect: calls.Dialect,
+    pool: upstream.Pool,
+    placement: placement_lib.Placement,
+    table: loads.Loads,
+    read_catalog: Callable[[], catalog.Catalog],
+) -> Owner:
+    """Create an owner.
+
+    Args:
+        store: The store.
+        watched: A mirror of `registry.WATCHED`.
+        member: This process.
+        directory: The other processes.
+        registration: This process's lease, to which its claims are bound.
+        dialect: Names on the wire.
+        pool: Connections to endpoints.
+        placement: Knows endpoints.
+        table: What endpoints have in hand.
+        read_catalog: Returns the configuration in force.
+    """
+    return Owner(
+        store,
+        watched,
+        member,
+        directory,
+        registration,
+        dialect,
+        pool,
+        placement,
+        table,
+        read_catalog,
+    )
--- /dev/null
+++ b/eelgrassgate/batches/submission.py
@@ -0,0 +1,114 @@
+"""Accepts jobs and ends them, each by one transaction of the store."""
+
+import enum
+import time
+from typing import Final
+
+import anyio
+import msgspec
+from returns import result
+
+from eelgrassgate import deadlines
+from eelgrassgate import logs
+from eelgrassgate.batches import records
+from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import catalog
+from eelgrassgate.store import base
+
+# Pause before a write is tried again.
+RETRY_S: Final = 0.15
+# Writes that certainly did nothing before the caller is sent elsewhere; the
+# store may refuse this instance and serve the others.
+MOST_REFUSALS: Final = 2
+# Time left to answer after the last try.
+ANSWER_S: Final = 0.1
+
+
+class Outcome(enum.Enum):
+    """How a write for a caller ended."""
+
+    DONE = "done"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
+    CONFLICT = "conflict"
+
+
+async def submit(
+    store: base.Store,
+    call: calls.Call,
+    route: catalog.Route,
+    workspace: str,
+    items: tuple[calls.BatchItem, ...],
+) -> Outcome:
+    """Keep a job whole, once; a repeat of it is `DONE` again.
+
+    Returns:
+        `CONFLICT` if another workspace has a job of that id.
+    """
+    now = time.time()
+    parts = records.split_items(items)
+    job = records.Job(
+        call.id,
+        workspace,
+        call.host,
+        call.path,
+        len(items),
+        len(parts),
+        now + route.completion_s,
+        now + route.retention_s,
+    )
+    key = f"{records.JOBS}{records.quote(call.id)}"
+    changes = [
+        base.Write(records.get_items_key(call.id, number), part)
+        for number, part in enumerate(parts)
+    ]
+    changes.append(base.Write(key, msgspec.json.encode(job)))
+    transaction = base.Transaction((base.Expect(key, 0),), tuple(changes))
+    outcome, commit = await _commit(store, transaction, call)
+    if commit is None or commit.is_done:
+        return outcome
+    for record in commit.found:
+        if record.key == key:
+            known = records.decode_job(record.value)
+            is_same = known.workspace == workspace
+            return Outcome.DONE if is_same else Outcome.CONFLICT
+    return Outcome.UNKNOWN
+
+
+async def end(store: base.Store, call: calls.Call, job: str) -> Outcome:
+    """Note that a job is ended; again is `DONE` as well."""
+    key = f"{records.ENDS}{records.quote(job)}"
+    transaction = base.Transaction((), (base.Write(key, b"{}"),))
+    outcome, _ = await _commit(store, transaction, call)
+    return outcome
+
+
+async def _commit(
+    store: base.Store, transaction: base.Transaction, call: calls.Call
+) -> tuple[Outcome, base.Commit | None]:
+    """Commit until it is known to be done or not, or the caller's time ends."""
+    outcome = Outcome.NOT_DONE
+    refusals = 0
+    with anyio.move_on_after(
+        deadlines.compute_remaining(call.deadline) - ANSWER_S
+    ):
+        while True:
+            # A cancelled call may still take effect.
+            before, outcome = outcome, Outcome.UNKNOWN
+            answer = await store.commit(transaction)
+            if isinstance(answer, result.Success):
+                return Outcome.DONE, answer.unwrap()
+            failure = answer.failure()
+            logs.say(
+                "job write failed",
+                id=call.id,
+                fault=failure.fault.value,
+                reason=failure.message,
+            )
+            if failure.fault is base.Fault.NOT_DONE:
+                outcome = before
+                refusals += 1
+                if refusals >= MOST_REFUSALS and (outcome is Outcome.NOT_DONE):
+                    break
+            await anyio.sleep(RETRY_S)
+    return outcome, None
--- /dev/null
+++ b/eelgrassgate/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to endpoints, byte for byte."""
--- /dev/null
+++ b/eelgrassgate/gateway/node.py
@@ -0,0 +1,103 @@
+"""What every process on the platform is made of, gateways and batch alike."""
+
+import os
+import time
+
+import anyio
+import msgspec
+
+from eelgrassgate.gateway import batch_calls
+from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.gateway import present as present_lib
+from eelgrassgate.gateway import settings
+from eelgrassgate.http1 import upstream
+from eelgrassgate.peering import loads
+from eelgrassgate.peering import registry
+from eelgrassgate.peering import reports as reports_lib
+from eelgrassgate.store import base
+from eelgrassgate.store import mirror
+
+# A connection to an endpoint takes one round trip, 60 ms between regions; a
+# lost opening packet is sent again after a second.
+CONNECT_TIMEOUT_S = 0.5
+SWEEP_S = 1.0
+# Jobs, claims and members are seen by others within the fifth of a second.
+WATCHED_GAP_S = 0.15
+
+
+class Outside(msgspec.Struct, frozen=True):
+    """The outside world as an adapter gives it.
+
+    Attributes:
+        store: The key-value service.
+        documents: Where configuration and endpoints lie there.
+        dialect: Names on the wire of requests.
+        batch_dialect: How calls on batch jobs look.
+    """
+
+    store: base.Store
+    documents: present_lib.Documents
+    dialect: calls.Dialect
+    batch_dialect: batch_calls.BatchDialect
+
+
+class Node:
+    """The parts that both kinds of process share."""
+
+    def __init__(
+        self, own: settings.Node, role: registry.Role, outside: Outside
+    ) -> None:
+        """Create the parts; see `create_node`."""
+        self.settings = own
+        self.outside = outside
+        self.member = registry.Member(
+            own.instance,
+            role,
+            own.zone,
+            own.reports_address,
+            time.time_ns() + os.getpid(),
+        )
+        self.watched = mirror.create_mirror(
+            outside.store, registry.WATCHED, gap_s=WATCHED_GAP_S
+        )
+        self.directory = registry.create_directory(self.watched)
+        self.registration = registry.create_registration(
+            outside.store, self.member
+        )
+        self.loads = loads.create_loads()
+        self.reports = reports_lib.create_reports(
+            self.member, self.directory, self.loads
+        )
+        self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
+        self.placement = placement_lib.create_placement(
+            self.loads, own.zone, own.region_by_zone
+        )
+        self.present = present_lib.create_present(
+            outside.store, outside.documents
+        )
+        self.present.on_endpoints(self.placement.set_endpoints)
+
+    async def run(self) -> None:
+        """Run the shared parts until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.present.run)
+            tasks.start_soon(self.watched.run)
+            tasks.start_soon(self.registration.run)
+            tasks.start_soon(self.reports.run)
+            while True:
+                await anyio.sleep(SWEEP_S)
+                await self.pool.sweep()
+
+
+def create_node(
+    own: settings.Node, role: registry.Role, outside: Outside
+) -> Node:
+    """Create the parts of a process.
+
+    Args:
+        own: Its settings.
+        role: What it does.
+        outside: The outside world.
+    """
+    return Node(own, role, outside)
--- /dev/null
+++ b/eelgrassgate/gateway/rates.py
@@ -0,0 +1,112 @@
+"""Rates and bursts of workspaces, counted over all gateways.
+
+Each gateway keeps a bucket for the whole fleet: it takes from it what it
+admits itself and what the others report. Reports are late by a fraction of a
+second, which bounds what may be admitted beyond the rate; a gateway that does
+not hear others uses only its part of the rate.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from eelgrassgate import deadlines
+from eelgrassgate.gateway import catalog
+from eelgrassgate.peering import reports
+
+# A gateway that starts doesn't know what was spent just before; half of the
+# burst is what a window can bear twice.
+FIRST_LEVEL: Final = 0.5
+# A process younger than this has told all that it spent in its first report.
+FRESH_S: Final = 2.0
+
+
+class _Bucket(msgspec.Struct):
+    """What may still be admitted at `at`."""
+
+    level: float
+    at: float
+
+
+class Rates(reports.HeardListener):
+    """The buckets of all workspaces.
+
+    Attributes:
+        share: The part of each rate that this process may use.
+    """
+
+    def __init__(
+        self,
+        spent_by_workspace: dict[str, float],
+        clock: Callable[[], float],
+    ) -> None:
+        """Create without buckets; see `create_rates`."""
+        self._spent_by_workspace = spent_by_workspace
+        self._clock = clock
+        self._workspaces_by_name: dict[str, catalog.Workspace] = {}
+        self._buckets_by_name: dict[str, _Bucket] = {}
+        self.share = 1.0
+
+    def configure(self, present: catalog.Catalog) -> None:
+        """Take the workspaces of a configuration."""
+        self._workspaces_by_name = dict(present.workspaces_by_name)
+        for name in list(self._buckets_by_name):
+            if name not in self._workspaces_by_name:
+                del self._buckets_by_name[name]
+
+    def admit(self, name: str) -> float | None:
+        """Admit one request, or return the seconds after which to retry."""
+        workspace = self._workspaces_by_name.get(name)
+        if workspace is None or workspace.rate_per_s <= 0:
+            return None
+        bucket = self._fill(workspace)
+        if bucket.level >= 1.0:
+            bucket.level -= 1.0
+            spent = self._spent_by_workspace.get(name, 0.0)
+            self._spent_by_workspace[name] = spent + 1.0
+            return None
+        per_second = workspace.rate_per_s * self.share
+        return (1.0 - bucket.level) / max(per_second, 1.0)
+
+    def take(
+        self, report: reports.Report, earlier: reports.Report | None
+    ) -> None:
+        """Take from the buckets what another gateway has admitted."""
+        for name, spent in report.spent_by_workspace.items():
+            workspace = self._workspaces_by_name.get(name)
+            if workspace is None or workspace.rate_per_s <= 0:
+                continue
+            if earlier and earlier.incarnation == report.incarnation:
+                spent -= earlier.spent_by_workspace.get(name, 0.0)
+            elif report.uptime_s > FRESH_S:
+                # Spent before it was heard; its part was set aside then.
+                continue
+            if spent:
+                self._fill(workspace).level -= spent
+
+    def _fill(self, workspace: catalog.Workspace) -> _Bucket:
+        now = self._clock()
+        most = max(1.0, workspace.burst) * self.share
+        bucket = self._buckets_by_name.get(workspace.name)
+        if bucket is None:
+            bucket = _Bucket(most * FIRST_LEVEL, now)
+            self._buckets_by_name[workspace.name] = bucket
+        gained = (now - bucket.at) * workspace.rate_per_s * self.share
+        # Late reports may leave a debt; one burst of it is remembered.
+        bucket.level = max(-most, min(most, bucket.level + gained))
+        bucket.at = now
+        return bucket
+
+
+def create_rates(
+    spent_by_workspace: dict[str, float],
+    clock: Callable[[], float] = deadlines.now,
+) -> Rates:
+    """Create the buckets.
+
+    Args:
+        spent_by_workspace: Where admitted requests are counted for reports.
+        clock: Returns seconds on a monotonic clock.
+    """
+    return Rates(spent_by_workspace, clock)
--- /dev/null
+++ b/eelgrassgate/http1/downstream.py
@@ -0,0 +1,363 @@
+"""Server connections: requests read whole, responses written as they come."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import http
+from typing import Final
+
+import anyio
+from anyio import abc
+import h11
+import msgspec
+
+from eelgrassgate import deadlines
+from eelgrassgate.http1 import sockets
+
+READ_BYTES: Final = 65_536
+# Bytes of a next request that are read while one is being answered.
+AHEAD_BYTES: Final = 65_536
+# Longest that a caller may leave a response unread before it is cut.
+WRITE_TIMEOUT_S: Final = 10.0
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What a caller may send.
+
+    Attributes:
+        header_bytes: Most bytes of a request's head.
+        body_bytes: Most bytes of its body.
+        header_timeout_s: Longest that a head may take once begun.
+        idle_timeout_s: Longest that a connection may stay idle.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 15.0
+
+
+class Incoming(msgspec.Struct, frozen=True):
+    """A whole request; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    received: float
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return a header's value."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class Responder:
+    """Writes one response."""
+
+    def __init__(
+        self, connection: h11.Connection, stream: abc.SocketStream
+    ) -> None:
+        """Create for the request that the connection has just read."""
+        self._http = connection
+        self._stream = stream
+        self.has_begun = False
+        self.is_closing = False
+
+    async def begin(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        length: int | None = None,
+    ) -> None:
+        """Write the head; without a length the body goes in chunks."""
+        self.has_begun = True
+        sent = list(headers)
+        if length is not None:
+            sent.append((b"content-length", b"%d" % length))
+        if self.is_closing:
+            sent.append((b"connection", b"close"))
+        reason = _get_reason(status)
+        head = h11.Response(status_code=status, headers=sent, reason=reason)
+        await self._write(self._http.send(head))
+
+    async def send(self, data: bytes) -> None:
+        """Write a part of the body."""
+        await self._write(self._http.send(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """Write the end; only now the response looks complete."""
+        await self._write(self._http.send(h11.EndOfMessage()))
+
+    async def reply(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]] = (),
+        body: bytes = b"",
+    ) -> None:
+        """Write a whole response in one go."""
+        self.has_begun = True
+        sent = [*headers, (b"content-length", b"%d" % len(body))]
+        if self.is_closing:
+            sent.append((b"connection", b"close"))
+        reason = _get_reason(status)
+        head = h11.Response(status_code=status, headers=sent, reason=reason)
+        data = self._http.send(head) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._write(data)
+
+    async def _write(self, data: bytes | None) -> None:
+        if not data:
+            return
+        try:
+            with anyio.fail_after(WRITE_TIMEOUT_S):
+                await self._stream.send(data)
+        except (OSError, anyio.BrokenResourceError, TimeoutError) as error:
+            raise CallerGoneError from error
+        except anyio.ClosedResourceError as error:
+            raise CallerGoneError from error
+
+
+Handler = Callable[[Incoming, Responder], Awaitable[None]]
+
+
+class Connection:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        stream: abc.SocketStream,
+        read_limits: Callable[[], Limits],
+        handle: Handler,
+        is_closing: Callable[[], bool],
+    ) -> None:
+        """Wrap an accepted stream; see `serve`."""
+        self._stream = stream
+        self._read_limits = read_limits
+        self._handle = handle
+        self._is_closing = is_closing
+        limits = read_limits()
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._ahead = bytearray()
+        self._is_ended = False
+        self.is_idle = True
+
+    async def run(self) -> None:
+        """Serve requests until the caller or a drain ends the connection."""
+        try:
+            while True:
+                incoming = await self._read()
+                if incoming is None or not await self._answer(incoming):
+                    return
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error.error_status_hint)
+        except (CallerGoneError, OSError, anyio.BrokenResourceError):
+            return
+        except anyio.ClosedResourceError:
+            return
+        finally:
+            self.is_idle = False
+            await sockets.abort(self._stream)
+
+    async def _refuse(self, status: int) -> None:
+        """Answer a request that can't be read."""
+        if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        responder = Responder(self._http, self._stream)
+        responder.is_closing = True
+        try:
+            await responder.reply(status)
+        except (CallerGoneError, h11.LocalProtocolError):
+            return
+
+    async def _read(self) -> Incoming | None:
+        """Read a whole request; None if the connection is to be closed."""
+        limits = self._read_limits()
+        self.is_idle = not self._ahead and not self._http.trailing_data[0]
+        with anyio.move_on_after(limits.idle_timeout_s) as scope:
+            event = await self._next()
+            while event is None:
+                # The first byte of a head starts a clock of its own.
+                self.is_idle = False
+                scope.deadline = min(
+                    scope.deadline,
+                    anyio.current_time() + limits.header_timeout_s,
+                )
+                event = await self._next()
+            if not isinstance(event, h11.Request):
+                return None
+            return await self._read_body(event, limits)
+        if not self.is_idle:
+            await self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
+        return None
+
+    async def _read_body(
+        self, request: h11.Request, limits: Limits
+    ) -> Incoming | None:
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._stream.send(self._http.send(go_on) or b"")
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    await self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                    return None
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif event is not None:
+                return None
+        return Incoming(
+            request.method,
+            request.target,
+            tuple(request.headers),
+            b"".join(parts),
+            deadlines.now(),
+        )
+
+    async def _next(self) -> object:
+        """Return the next event, None after more bytes were read."""
+        event = self._http.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if self._ahead:
+            data = bytes(self._ahead)
+            self._ahead.clear()
+        elif self._is_ended:
+            data = b""
+        else:
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                data = b""
+        self._http.receive_data(data)
+        return None
+
+    async def _answer(self, incoming: Incoming) -> bool:
+        """Answer a request; return whether the connection goes on."""
+        self.is_idle = False
+        responder = Responder(self._http, self._stream)
+        responder.is_closing = self._is_closing()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_caller, tasks.cancel_scope)
+            try:
+                await self._handle(incoming, responder)
+            except (CallerGoneError, h11.LocalProtocolError):
+                # Nothing more can be said on this connection.
+                responder.is_closing = True
+            tasks.cancel_scope.cancel()
+        if self._http.our_state is not h11.DONE or responder.is_closing:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def _watch_caller(self, scope: anyio.CancelScope) -> None:
+        """Cancel the answer once the caller has gone."""
+        while len(self._ahead) < AHEAD_BYTES:
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                OSError,
+            ):
+                self._is_ended = True
+                scope.cancel()
+                return
+            self._ahead.extend(data)
+
+    async def close(self) -> None:
+        """Close an idle connection."""
+        await sockets.abort(self._stream)
+
+
+def _get_reason(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Unknown"
+
+
+class Listener:
+    """Accepts callers until it is closed, and counts what is in hand."""
+
+    def __init__(
+        self,
+        read_limits: Callable[[], Limits],
+        handle: Handler,
+        is_closing: Callable[[], bool],
+    ) -> None:
+        """Create a listener; `is_closing` asks for `Connection: close`."""
+        self._read_limits = read_limits
+        self._handle = handle
+        self._is_closing = is_closing
+        self._connections: set[Connection] = set()
+
+    def count_busy(self) -> int:
+        """Return how many connections have a request in hand."""
+        return sum(not one.is_idle for one in self._connections)
+
+    async def close_idle(self) -> None:
+        """Close the connections that wait for a next request."""
+        for connection in list(self._connections):
+            if connection.is_idle:
+                await connection.close()
+
+    async def serve(
+        self,
+        address: str,
+        *,
+        task_status: abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections at `host:port` until cancelled.
+
+        Reports the port through `task_status`. Connections that are open
+        when it is cancelled go on in the task group of `run`.
+        """
+        host, _, port = address.rpartition(":")
+        async with await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port), backlog=BACKLOG
+        ) as listener:
+            task_status.started(listener.extra(abc.SocketAttribute.local_port))
+            await listener.serve(self._serve_one, self.tasks)
+
+    async def run(
+        self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Hold the connections' tasks until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            task_status.started()
+            await anyio.sleep_forever()
+
+    async def _serve_one(self, stream: abc.SocketStream) -> None:
+        sockets.set_options(stream)
+        connection = Connection(
+            stream, self._read_limits, self._handle, self._is_closing
+        )
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+
+# Connections that wait to be accepted; a burst of callers after a restart.
+BACKLOG: Final = 1024
--- /dev/null
+++ b/eelgrassgate/peering/loads.py
@@ -0,0 +1,102 @@
+"""How many requests each endpoint has in hand, over all processes."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+
+import anyio
+
+from eelgrassgate import outcomes
+
+_Counts = dict[str, int]
+
+
+class Loads:
+    """Counts by endpoint; own ones are exact, others' as last reported.
+
+    Attributes:
+        is_changed: Whether own counts changed since it was last reset.
+    """
+
+    def __init__(self) -> None:
+        """Create with nothing in hand."""
+        self._own = {one: _Counts() for one in outcomes.Class}
+        self._total = {one: _Counts() for one in outcomes.Class}
+        self._peers_by_name: dict[
+            str, dict[outcomes.Class, Mapping[str, int]]
+        ] = {}
+        self._changed = anyio.Event()
+        self.is_changed = False
+
+    def get(self, endpoint: str) -> int:
+        """Return how many requests an endpoint has in hand."""
+        return self.get_of(endpoint, outcomes.Class.ONLINE) + self.get_of(
+            endpoint, outcomes.Class.BATCH
+        )
+
+    def get_of(self, endpoint: str, kind: outcomes.Class) -> int:
+        """Return how many requests of one class it has in hand."""
+        return self._total[kind].get(endpoint, 0)
+
+    def get_own(self) -> tuple[_Counts, _Counts]:
+        """Return this process's counts: online, batch."""
+        own = self._own
+        return dict(own[outcomes.Class.ONLINE]), dict(own[outcomes.Class.BATCH])
+
+    @contextlib.contextmanager
+    def hold(self, endpoint: str, kind: outcomes.Class) -> Iterator[None]:
+        """Count one request as in hand."""
+        self._add(endpoint, kind, 1)
+        try:
+            yield
+        finally:
+            self._add(endpoint, kind, -1)
+
+    def _add(self, endpoint: str, kind: outcomes.Class, amount: int) -> None:
+        _add(self._own[kind], endpoint, amount)
+        _add(self._total[kind], endpoint, amount)
+        self.touch()
+
+    def touch(self) -> None:
+        """Note that there is news to tell."""
+        self.is_changed = True
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    async def wait_changed(self) -> None:
+        """Return once own counts have changed."""
+        if not self.is_changed:
+            await self._changed.wait()
+
+    def set_peer(
+        self,
+        name: str,
+        online_by_endpoint: Mapping[str, int],
+        batch_by_endpoint: Mapping[str, int],
+    ) -> None:
+        """Set what another process has in hand."""
+        told = {
+            outcomes.Class.ONLINE: online_by_endpoint,
+            outcomes.Class.BATCH: batch_by_endpoint,
+        }
+        earlier = self._peers_by_name.get(name, {})
+        for kind, counts in told.items():
+            total = self._total[kind]
+            for endpoint, amount in earlier.get(kind, {}).items():
+                _add(total, endpoint, -amount)
+            for endpoint, amount in counts.items():
+                _add(total, endpoint, amount)
+        self._peers_by_name[name] = told
+
+
+def _add(counts: _Counts, endpoint: str, amount: int) -> None:
+    left = counts.get(endpoint, 0) + amount
+    if left > 0:
+        counts[endpoint] = left
+    else:
+        counts.pop(endpoint, None)
+
+
+def create_loads() -> Loads:
+    """Create a table with nothing in hand."""
+    return Loads()
--- /dev/null
+++ b/eelgrassgate/platform/boot.py
@@ -0,0 +1,113 @@
+"""Reads the settings file that the platform writes for each process."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+from typing import Final
+
+import msgspec
+from returns import result
+
+from eelgrassgate import findings
+from eelgrassgate.gateway import settings
+
+VARIABLE: Final = "EELGRASSGATE_BOOT"
+MS_PER_S: Final = 1000.0
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    """Addresses that the role listens on; `front` is for callers."""
+
+    front: str = ""
+    ready: str = ""
+
+
+class _Bounds(msgspec.Struct, frozen=True, rename="kebab"):
+    grace_s: float
+
+
+class _Platform(msgspec.Struct, frozen=True):
+    """The key-value service."""
+
+    address: str
+
+
+class _Boot(msgspec.Struct, frozen=True, rename="kebab"):
+    """The file's fields that are used; all others are passed over.
+
+    `internal_ports` are the first and last port for the system's own use.
+    """
+
+    node_name: str
+    zone: str
+    region: str
+    ip: str
+    internal_ports: tuple[int, int]
+    platform: _Platform
+    bounds: _Bounds
+    zones: dict[str, str]
+    listen: _Listen = _Listen()
+
+
+def load(
+    path: str | None = None,
+) -> result.Result[settings.Node, findings.Report]:
+    """Read and check the settings file.
+
+    Args:
+        path: The file; the environment names it if it is not given.
+    """
+    report = findings.Report()
+    path = path or os.environ.get(VARIABLE, "")
+    document: Any = None
+    if not path:
+        report.add(VARIABLE, "environment", "is not set")
+        return result.Failure(report)
+    try:
+        document = tomllib.loads(pathlib.Path(path).read_text("utf-8"))
+    except OSError as error:
+        report.add(path, "file", error.strerror or str(error))
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        report.add(path, "file", str(error))
+    if report.has_findings():
+        return result.Failure(report)
+    _check_fields(path, document, report)
+    if report.has_findings():
+        return result.Failure(report)
+    return result.Success(_to_node(msgspec.convert(document, _Boot)))
+
+
+def _check_fields(
+    path: str, document: dict[str, Any], report: findings.Report
+) -> None:
+    """Check each field by itself, so that all findings come at once."""
+    for field in msgspec.structs.fields(_Boot):
+        name = field.encode_name
+        if name not in document:
+            if field.required:
+                report.add(path, f"$.{name}", "is missing")
+            continue
+        try:
+            msgspec.convert(document[name], field.type)
+        except msgspec.ValidationError as error:
+            message = str(error)
+            place = f"$.{name}"
+            if " - at `$" in message:
+                message, _, inner = message.partition(" - at `$")
+                place += inner.rstrip("`")
+            report.add(path, place, message)
+
+
+def _to_node(boot: _Boot) -> settings.Node:
+    return settings.Node(
+        boot.node_name,
+        boot.zone,
+        boot.region,
+        boot.zones,
+        boot.platform.address,
+        f"{boot.ip}:{boot.internal_ports[0]}",
+        boot.bounds.grace_s,
+        boot.listen.front,
+        boot.listen.ready,
+    )
--- /dev/null
+++ b/eelgrassgate/platform/documents.py
@@ -0,0 +1,177 @@
+"""Decodes the operators' configuration and the list of endpoints."""
+
+from typing import Any
+from typing import Final
+
+import msgspec
+
+from eelgrassgate import logs
+from eelgrassgate.gateway import catalog
+from eelgrassgate.http1 import downstream
+
+CONFIG_KEY: Final = "op/config"
+ENDPOINTS: Final = "servers/"
+RETIREMENTS: Final = "op/retire/"
+
+MS_PER_S: Final = 1000.0
+
+_KINDS: Final = {
+    "safe": catalog.Kind.IDEMPOTENT,
+    "unsafe": catalog.Kind.NON_IDEMPOTENT,
+    "streaming": catalog.Kind.STREAM,
+    "batch": catalog.Kind.BATCH,
+}
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename="kebab"):
+    """A route; `target_latency_ms` is an objective, not a time limit."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float = 0.0
+    target_latency_ms: float = 0.0
+    max_attempts: int = 1
+    priority: int = 0
+    allow_anonymous: bool = False
+    allow_resume: bool = False
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    completion_target_ms: float = 0.0
+    retention_s: float = 0.0
+
+
+class _Service(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str
+    max_connections: int = 0
+    engine: dict[str, Any] | None = None
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 5_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = _Limits()
+
+
+class _Entry(msgspec.Struct, frozen=True, rename="kebab"):
+    """An endpoint's own entry.
+
+    `state` is `ready` or `draining`; `born` is when it started.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    born: int
+    sequence: int
+    cold_remaining_ms: float
+    version: str
+
+
+def decode_config(value: bytes) -> catalog.Catalog | None:
+    """Decode the configuration; None, with a log line, if it can't be read."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+    except msgspec.MsgspecError as error:
+        logs.say("config:unreadable", reason=str(error))
+        return None
+    workspace_by_key = {
+        key: tenant.name for tenant in config.tenants for key in tenant.api_keys
+    }
+    limits = config.limits
+    return catalog.Catalog(
+        config.version,
+        catalog.sort_routes([_to_route(one) for one in config.routes]),
+        {
+            one.name: catalog.Service(
+                one.name, one.max_connections, one.engine is not None
+            )
+            for one in config.services
+        },
+        {
+            one.name: catalog.Workspace(
+                one.name, one.rate_per_s, one.burst, one.priority or 0
+            )
+            for one in config.tenants
+        },
+        workspace_by_key,
+        downstream.Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _to_route(route: _Route) -> catalog.Route:
+    if route.traffic_split:
+        targets = tuple(
+            catalog.Target(one.service, one.weight)
+            for one in route.traffic_split
+        )
+    else:
+        targets = (catalog.Target(route.service or "", 1.0),)
+    return catalog.Route(
+        route.name,
+        route.host,
+        route.prefix,
+        _KINDS.get(route.kind, catalog.Kind.NON_IDEMPOTENT),
+        targets,
+        route.timeout_ms / MS_PER_S,
+        route.target_latency_ms / MS_PER_S,
+        max(1, route.max_attempts),
+        route.priority,
+        route.allow_anonymous,
+        route.allow_resume,
+        route.completion_target_ms / MS_PER_S,
+        route.retention_s,
+    )
+
+
+def decode_endpoint(key: str, value: bytes) -> catalog.Endpoint | None:
+    """Decode an endpoint's entry; None if it names no endpoint to use.
+
+    Other writers may leave entries that can't be read; they are expected, so
+    they are not logged each time.
+    """
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except msgspec.MsgspecError:
+        return None
+    if entry.state not in {"ready", "draining"} or entry.slots < 1:
+        return None
+    return catalog.Endpoint(
+        key.removeprefix(ENDPOINTS),
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        entry.state == "draining",
+        entry.born,
+    )
--- /dev/null
+++ b/eelgrassgate/platform/kv.py
@@ -0,0 +1,350 @@
+"""The platform's key-value service over HTTP/1.1 and JSON."""
+
+import base64
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import Final
+from typing import TypeVar
+import urllib.parse
+
+import anyio
+import msgspec
+from returns import result
+
+from eelgrassgate.http1 import upstream
+from eelgrassgate.store import base
+
+# Answers take 4 ms, and up to about 400 ms where the service is slow.
+CALL_TIMEOUT_S: Final = 2.0
+# A connection needs one round trip, 60 ms between regions.
+CONNECT_TIMEOUT_S: Final = 1.0
+# A watch that hears nothing is renewed; each renewal is a priced call. A
+# silent connection is found sooner, by keep-alive probes.
+WATCH_WAIT_S: Final = 10.0
+# How much later than asked the answer to a waiting watch may come.
+WATCH_SLACK_S: Final = 3.0
+
+MS_PER_S: Final = 1000.0
+OK: Final = 200
+GONE: Final = 410
+NOT_FOUND: Final = 404
+CONDITION_FAILED: Final = 412
+# Answers which say that the call took no effect.
+REFUSED: Final = frozenset({400, 403, 404, 413, 429, 503})
+
+_T = TypeVar("_T")
+
+
+class _Item(msgspec.Struct, frozen=True):
+    """A key as the service writes it; `value` is base64 text."""
+
+    key: str
+    revision: int
+    value: str = ""
+    lease: int = 0
+    deleted: bool = False
+
+
+class _ItemAnswer(_Item, frozen=True):
+    """The answer to a read of one key."""
+
+    store_revision: int = msgspec.field(name="store-revision", default=0)
+
+
+class _RangeAnswer(msgspec.Struct, frozen=True):
+    items: list[_Item]
+    store_revision: int = msgspec.field(name="store-revision")
+    more_pages: bool = msgspec.field(name="more-pages", default=False)
+
+
+class _WatchAnswer(msgspec.Struct, frozen=True):
+    events: list[_Item]
+    store_revision: int = msgspec.field(name="store-revision")
+
+
+class _CommitAnswer(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Conflict(msgspec.Struct, frozen=True):
+    """Present state of a failed condition's keys."""
+
+    items: list[msgspec.Raw]
+
+
+class _LeaseAnswer(msgspec.Struct, frozen=True):
+    """A lease; the answer to a renewal names only the time to live."""
+
+    ttl_ms: int = msgspec.field(name="ttl-ms")
+    lease: int = 0
+
+
+def _to_record(item: _Item) -> base.Record:
+    value = base64.b64decode(item.value)
+    return base.Record(item.key, value, item.revision, item.lease)
+
+
+def _to_change(item: _Item) -> base.Change:
+    value = None if item.deleted else base64.b64decode(item.value)
+    return base.Change(item.key, value, item.revision)
+
+
+class _CallError(Exception):
+    """A call without the answer that was asked for."""
+
+    def __init__(self, error: base.StoreError) -> None:
+        super().__init__(error.message)
+        self.error = error
+
+
+class KvStore:
+    """An implementation of `base.Store`."""
+
+    def __init__(self, address: str) -> None:
+        """Create a client; see `create_kv_store`."""
+        self._address = address
+        self._host = address.encode()
+        self._pool = upstream.create_pool(CONNECT_TIMEOUT_S)
+
+    async def read(
+        self, key: str
+    ) -> result.Result[base.Record | None, base.StoreError]:
+        """Read one key; linearizable."""
+        return await self._read_key(key, {})
+
+    async def read_stale(
+        self, key: str
+    ) -> result.Result[base.Record | None, base.StoreError]:
+        """Read one key that never changes; may miss it for seconds."""
+        return await self._read_key(key, {"allow-stale": "1"})
+
+    async def _read_key(
+        self, key: str, options: dict[str, str]
+    ) -> result.Result[base.Record | None, base.StoreError]:
+        target = _write_target("/kv-key", {"key": key, **options})
+        try:
+            status, body = await self._call(b"GET", target, is_write=False)
+            if status == NOT_FOUND:
+                return result.Success(None)
+            _check(status, body)
+            item = _decode(body, _ItemAnswer)
+            return result.Success(_to_record(item))
+        except _CallError as error:
+            return result.Failure(error.error)
+
+    async def read_range(
+        self, prefix: str, *, after: str = "", limit: int = 0
+    ) -> result.Result[base.Page, base.StoreError]:
+        """Read one page of keys under `prefix`; the service sets its size."""
+        query = {"prefix": prefix}
+        if after:
+            query["after"] = after
+        target = _write_target("/kv-range", query)
+        try:
+            status, body = await self._call(b"GET", target, is_write=False)
+            _check(status, body)
+            page = _decode(body, _RangeAnswer)
+        except _CallError as error:
+            return result.Failure(error.error)
+        records = tuple(_to_record(item) for item in page.items)
+        has_more = page.more_pages
+        if limit and len(records) > limit:
+            records, has_more = records[:limit], True
+        return result.Success(base.Page(records, page.store_revision, has_more))
+
+    async def commit(
+        self, transaction: base.Transaction
+    ) -> result.Result[base.Commit, base.StoreError]:
+        """Make changes if expectations hold."""
+        body = msgspec.json.encode(_write_transaction(transaction))
+        try:
+            status, answer = await self._call(
+                b"POST", b"/kv-txn", body, is_write=True
+            )
+            if status == CONDITION_FAILED:
+                found = _read_conflict(_decode(answer, _Conflict))
+                revision = max((one.revision for one in found), default=0)
+                return result.Success(base.Commit(False, revision, found))
+            _check(status, answer)
+            revision = _decode(answer, _CommitAnswer).revision
+            return result.Success(base.Commit(True, revision))
+        except _CallError as error:
+            return result.Failure(error.error)
+
+    async def grant_lease(
+        self, ttl_s: float
+    ) -> result.Result[base.Lease, base.StoreError]:
+        """Grant a lease."""
+        body = msgspec.json.encode({"ttl-ms": int(ttl_s * MS_PER_S)})
+        try:
+            status, answer = await self._call(
+                b"POST", b"/kv-lease", body, is_write=True
+            )
+            _check(status, answer)
+            lease = _decode(answer, _LeaseAnswer)
+        except _CallError as error:
+            return result.Failure(error.error)
+        return result.Success(base.Lease(lease.lease, lease.ttl_ms / MS_PER_S))
+
+    async def keep_lease(
+        self, lease: int
+    ) -> result.Result[base.Lease | None, base.StoreError]:
+        """Renew a lease; None if the store no longer knows it."""
+        target = f"/kv-keep/{lease}".encode()
+        try:
+            status, answer = await self._call(b"POST", target, is_write=True)
+            if status == NOT_FOUND:
+                return result.Success(None)
+            _check(status, answer)
+            kept = _decode(answer, _LeaseAnswer)
+        except _CallError as error:
+            return result.Failure(error.error)
+        return result.Success(base.Lease(lease, kept.ttl_ms / MS_PER_S))
+
+    async def revoke_lease(
+        self, lease: int
+    ) -> result.Result[None, base.StoreError]:
+        """End a lease and delete the keys bound to it."""
+        target = f"/kv-lease-end/{lease}".encode()
+        try:
+            status, answer = await self._call(b"DELETE", target, is_write=True)
+            if status != NOT_FOUND:
+                _check(status, answer)
+        except _CallError as error:
+            return result.Failure(error.error)
+        return result.Success(None)
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator[
+        result.Result[base.Changes | base.Compacted, base.StoreError]
+    ]:
+        """Yield changes under `prefix` from `from_revision` on.
+
+        Each step is one call, so a reader that pauses between steps gets
+        more changes at once.
+        """
+        after = from_revision - 1
+        while True:
+            query = {
+                "prefix": prefix,
+                "after": str(after),
+                "wait-ms": str(int(WATCH_WAIT_S * MS_PER_S)),
+            }
+            try:
+                status, body = await self._call(
+                    b"GET",
+                    _write_target("/kv-watch", query),
+                    is_write=False,
+                    timeout_s=WATCH_WAIT_S + WATCH_SLACK_S,
+                )
+                if status == GONE:
+                    yield result.Success(base.Compacted(after))
+                    return
+                _check(status, body)
+                answer = _decode(body, _WatchAnswer)
+            except _CallError as error:
+                yield result.Failure(error.error)
+                return
+            after = max(after, answer.store_revision)
+            changes = tuple(_to_change(item) for item in answer.events)
+            yield result.Success(base.Changes(changes, after))
+
+    async def close(self) -> None:
+        """Release connections."""
+        await self._pool.close()
+
+    async def _call(
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes = b"",
+        *,
+        is_write: bool,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        headers = [(b"host", self._host)]
+        if method != b"GET":
+            headers.append((b"content-length", b"%d" % len(body)))
+            headers.append((b"content-type", b"application/json"))
+        request = upstream.Request(method, target, tuple(headers), body)
+        try:
+            with anyio.fail_after(timeout_s):
+                async with self._pool.use(self._address) as connection:
+                    await connection.start(request, _always)
+                    parts = [part async for part in connection.iterate()]
+                    return connection.head.status, b"".join(parts)
+        except upstream.ExchangeError as error:
+            is_unknown = is_write and error.was_sent
+            raise _fail(is_unknown, str(error)) from error
+        except TimeoutError as error:
+            raise _fail(is_write, f"no answer in {timeout_s} s") from error
+
+
+def _always(head: upstream.Head) -> bool:
+    return True
+
+
+def _fail(is_unknown: bool, message: str) -> _CallError:
+    fault = base.Fault.UNKNOWN if is_unknown else base.Fault.NOT_DONE
+    return _CallError(base.StoreError(fault, message))
+
+
+def _check(status: int, body: bytes) -> None:
+    if status == OK:
+        return
+    text = body[:100].decode("utf-8", "replace")
+    raise _fail(status not in REFUSED, f"status {status}: {text}")
+
+
+def _decode(body: bytes, kind: type[_T]) -> _T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise _fail(True, f"unreadable answer: {error}") from error
+
+
+def _write_target(path: str, query: dict[str, str]) -> bytes:
+    return f"{path}?{urllib.parse.urlencode(query)}".encode()
+
+
+def _write_transaction(transaction: base.Transaction) -> dict[str, Any]:
+    puts = []
+    deletes = []
+    for change in transaction.changes:
+        if isinstance(change, base.Delete):
+            deletes.append(change.key)
+            continue
+        put: dict[str, Any] = {
+            "key": change.key,
+            "value": base64.b64encode(change.value).decode(),
+        }
+        if change.lease:
+            put["lease"] = change.lease
+        puts.append(put)
+    return {
+        "precondition": [
+            {"key": expect.key, "revision": expect.revision}
+            for expect in transaction.expects
+        ],
+        "puts": puts,
+        "deletes": deletes,
+    }
+
+
+def _read_conflict(conflict: _Conflict) -> tuple[base.Record, ...]:
+    """Return the records that exist; absent keys have no readable record."""
+    found = []
+    for raw in conflict.items:
+        try:
+            item = msgspec.json.decode(raw, type=_Item)
+        except msgspec.MsgspecError:
+            continue
+        if item.revision and not item.deleted:
+            found.append(_to_record(item))
+    return tuple(found)
+
+
+def create_kv_store(address: str) -> KvStore:
+    """Create a client of the service at `host:port`."""
+    return KvStore(address)
