Drop a request that crosses the close of its idle connection

Ruled out: the accept loop's end, which leaves accepted connections alone. Bytes that cross the close are now dropped, so the caller may send them again.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -150,6 +150,7 @@
         )
         self._ahead = bytearray()
         self._is_ended = False
+        self._is_closed = False
         self.is_idle = True
 
     async def run(self) -> None:
@@ -244,6 +245,10 @@
                 data = await self._stream.receive(READ_BYTES)
             except anyio.EndOfStream:
                 data = b""
+        if self._is_closed:
+            # Bytes that crossed the close; the caller sees that nobody has
+            # taken its request.
+            raise anyio.ClosedResourceError
         self._http.receive_data(data)
         return None
 
@@ -284,7 +289,8 @@
             self._ahead.extend(data)
 
     async def close(self) -> None:
-        """Close an idle connection."""
+        """Close an idle connection; a request that crosses it is dropped."""
+        self._is_closed = True
         await sockets.abort(self._stream)
 
 
