Run items that can be in time before those that can't

Cause: after an outage the jobs due first were all late already and held the slots of those that could still be in time.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -40,12 +40,14 @@
         texts: Data of the events so far, in order.
         last_event: Id of the last one, empty before the first.
         failures: How many runs ended in the endpoint's own failure.
+        ran_s: Seconds for which it has run so far.
     """
 
     item: calls.BatchItem
     texts: list[str] = []
     last_event: str = ""
     failures: int = 0
+    ran_s: float = 0.0
 
 
 async def run(
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -91,6 +91,7 @@
         self._owned_by_id: dict[str, ownership.OwnedJob] = {}
         self._runs: list[_Run] = []
         self._paused_until_by_item: dict[str, float] = {}
+        self._run_times = scheduling.RunTimes()
         self._lease = 0
         self.is_draining = False
         watched.subscribe(self._take)
@@ -255,13 +256,7 @@
 
     def _start_items(self, tasks: abc.TaskGroup) -> None:
         """Start waiting items where there is room, those due first."""
-        now = time.time()
-        waiting = [
-            (scheduling.rank(owned.job.due, owned.claimed, now), owned)
-            for owned in self._owned_by_id.values()
-            if owned.waiting and owned.is_claimed()
-        ]
-        waiting.sort(key=lambda one: one[0])
+        waiting = self._rank_waiting()
         starts_by_endpoint: dict[str, int] = {}
 
         def may_use(endpoint: catalog.Endpoint) -> bool:
@@ -270,26 +265,50 @@
             started = starts_by_endpoint.get(endpoint.id, 0)
             return started < scheduling.AWAY_STARTS
 
-        for _, owned in waiting:
-            for progress in list(owned.waiting):
-                if len(self._runs) >= MOST_RUNNING:
-                    return
-                if not self._is_due(progress):
-                    continue
-                route = self._find_route(owned, progress)
-                if route is None:
-                    continue
-                endpoint = scheduling.find_room(
-                    self._placement,
-                    self._loads,
-                    route.targets[0].service,
-                    may_use=may_use,
-                )
-                if endpoint is None:
-                    break
-                starts = starts_by_endpoint.get(endpoint.id, 0)
-                starts_by_endpoint[endpoint.id] = starts + 1
-                self._start(tasks, owned, progress, endpoint, route)
+        full: set[str] = set()
+        for owned, progress in waiting:
+            if len(self._runs) >= MOST_RUNNING:
+                return
+            route = self._find_route(owned, progress)
+            if route is None or route.targets[0].service in full:
+                continue
+            endpoint = scheduling.find_room(
+                self._placement,
+                self._loads,
+                route.targets[0].service,
+                may_use=may_use,
+            )
+            if endpoint is None:
+                full.add(route.targets[0].service)
+                continue
+            starts = starts_by_endpoint.get(endpoint.id, 0)
+            starts_by_endpoint[endpoint.id] = starts + 1
+            self._start(tasks, owned, progress, endpoint, route)
+
+    def _rank_waiting(
+        self,
+    ) -> list[tuple[ownership.OwnedJob, items.Progress]]:
+        """Return the items that may start, the first one first."""
+        now = time.time()
+        ranked = [
+            (
+                scheduling.rank(
+                    owned.job.due,
+                    self._run_times.estimate_left(progress.ran_s),
+                    now,
+                ),
+                # Those that have run for longest end a job soonest.
+                -progress.ran_s,
+                owned,
+                progress,
+            )
+            for owned in self._owned_by_id.values()
+            if owned.is_claimed()
+            for progress in owned.waiting
+            if self._is_due(progress)
+        ]
+        ranked.sort(key=lambda one: one[:2])
+        return [(owned, progress) for _, _, owned, progress in ranked]
 
     def _is_due(self, progress: items.Progress) -> bool:
         until = self._paused_until_by_item.get(progress.item.id)
@@ -366,6 +385,7 @@
     ) -> None:
         """Decide what follows from how a run ended."""
         progress = run.progress
+        progress.ran_s += deadlines.now() - run.began
         is_cancelled = run.scope.cancel_called
         logs.say(
             "run",
@@ -381,6 +401,7 @@
             return
         if outcome is items.Outcome.COMPLETE:
             self._placement.note_success(run.endpoint)
+            self._run_times.note(progress.ran_s)
             run.owned.end(progress, records.COMPLETED, reason)
             return
         if outcome is items.Outcome.IMPOSSIBLE:
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -23,25 +23,48 @@
 # Items that one process starts at one endpoint of another zone for each round
 # of reports; the processes there don't know of them yet.
 AWAY_STARTS: Final = 1
+# Seconds that an item runs, before any has been seen whole.
+FIRST_ITEM_S: Final = 5.0
+ITEM_SMOOTHING: Final = 0.1
+# An item that has run for long may end at any moment.
+LEAST_LEFT_S: Final = 0.5
 
 
 class Rank(msgspec.Struct, frozen=True, order=True):
-    """Which item comes first: those still in time, then those due first."""
+    """Which item comes first: those that can be in time, due first."""
 
     is_late: bool
     due: float
-    started: float
 
 
-def rank(due: float, started: float, now: float) -> Rank:
+def rank(due: float, left_s: float, now: float) -> Rank:
     """Return an item's rank among those that wait.
 
+    One that can't be in time any more would make others late as well, so it
+    waits for those that can.
+
     Args:
         due: Wall-clock instant until which its job is wanted.
-        started: When the job was taken on, for equal ones.
+        left_s: Seconds for which it has to run yet.
         now: The present wall-clock instant.
     """
-    return Rank(due < now, due, started)
+    return Rank(now + left_s > due, due)
+
+
+class RunTimes:
+    """How long whole items run, as seen lately."""
+
+    def __init__(self) -> None:
+        """Start with a guess."""
+        self._item_s = FIRST_ITEM_S
+
+    def note(self, item_s: float) -> None:
+        """Take the time that a whole item ran, all its runs together."""
+        self._item_s += ITEM_SMOOTHING * (item_s - self._item_s)
+
+    def estimate_left(self, ran_s: float) -> float:
+        """Return how long an item that has run for `ran_s` runs yet."""
+        return max(LEAST_LEFT_S, self._item_s - ran_s)
 
 
 def find_room(
