Wait for connections that were accepted just before a drain

Ruled out: the balancer, since the request came 2.4 s after SIGTERM, within its two misses. The drain now waits a tick for such tasks and for all connections to end.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -105,13 +105,10 @@
         logs.say("leaving", in_hand=self._listener.count_busy())
         await anyio.sleep(min(NOTICE_S, grace_s / 2.0))
         accepting.cancel()
-        while self._listener.count_busy() and not deadlines.is_past(until):
-            await self._listener.close_idle()
-            await anyio.sleep(TICK_S)
-        await self._listener.close_idle()
+        cut = await self._listener.drain(until)
         with anyio.move_on_after(LAST_S / 2.0):
             await self._node.registration.leave()
-        logs.say("left", cut=self._listener.count_busy())
+        logs.say("left", cut=cut)
 
     async def _keep_share(self) -> None:
         """Use only this process's part of the rates of those not heard."""
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -17,6 +17,10 @@
 READ_BYTES: Final = 65_536
 # Bytes of a next request that are read while one is being answered.
 AHEAD_BYTES: Final = 65_536
+# Connections that wait to be accepted; a burst of callers after a restart.
+BACKLOG: Final = 1024
+# How often a drain looks for connections that have become idle.
+DRAIN_TICK_S: Final = 0.05
 # Longest that a caller may leave a response unread before it is cut.
 WRITE_TIMEOUT_S: Final = 10.0
 
@@ -324,11 +328,33 @@
         """Return how many connections have a request in hand."""
         return sum(not one.is_idle for one in self._connections)
 
-    async def close_idle(self) -> None:
-        """Close the connections that wait for a next request."""
-        for connection in list(self._connections):
-            if connection.is_idle:
-                await connection.close()
+    def count_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections)
+
+    def get_connections(self) -> tuple["Connection", ...]:
+        """Return the open connections."""
+        return tuple(self._connections)
+
+    async def drain(self, until: float) -> int:
+        """Close idle connections and wait for the others to end.
+
+        Call it once no more are accepted.
+
+        Args:
+            until: Instant at which it gives up waiting.
+
+        Returns:
+            How many requests are still in hand.
+        """
+        # One that was accepted just before has not begun to read yet.
+        await anyio.sleep(DRAIN_TICK_S)
+        while self._connections and not deadlines.is_past(until):
+            for connection in list(self._connections):
+                if connection.is_idle:
+                    await connection.close()
+            await anyio.sleep(DRAIN_TICK_S)
+        return self.count_busy()
 
     async def serve(
         self,
@@ -367,7 +393,3 @@
             await connection.run()
         finally:
             self._connections.discard(connection)
-
-
-# Connections that wait to be accepted; a burst of callers after a restart.
-BACKLOG: Final = 1024
--- /dev/null
+++ b/tests/test_downstream.py
@@ -0,0 +1,168 @@
+"""Callers' connections: what is read, refused, cut and drained."""
+
+from typing import Final
+import unittest
+
+import anyio
+import anyio.lowlevel
+import h11
+
+from eelgrassgate import deadlines
+from eelgrassgate.http1 import downstream
+from tests import site as site_lib
+
+LIMITS: Final = downstream.Limits(
+    header_bytes=1_000,
+    body_bytes=2_000,
+    header_timeout_s=0.2,
+    idle_timeout_s=0.4,
+)
+
+
+class Echo:
+    """Answers each request with its body, after a pause."""
+
+    def __init__(self, pause_s: float = 0.0) -> None:
+        self.pause_s = pause_s
+        self.begun = 0
+        self.ended = 0
+
+    async def handle(
+        self, incoming: downstream.Incoming, responder: downstream.Responder
+    ) -> None:
+        self.begun += 1
+        await anyio.sleep(self.pause_s)
+        await responder.reply(200, (), incoming.body)
+        self.ended += 1
+
+
+async def exchange(port: int, raw: bytes) -> bytes:
+    """Send bytes and return all that comes back until the end."""
+    answer = b""
+    with anyio.fail_after(site_lib.PATIENCE_S):
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(raw)
+            while True:
+                try:
+                    answer += await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return answer
+
+
+class ReadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_requests(self) -> None:
+        host = b"Host: a\r\n"
+        for name, raw, wanted in (
+            (
+                "length",
+                b"POST / HTTP/1.1\r\n" + host + b"Content-Length: 2\r\n"
+                b"Connection: close\r\n\r\nhi",
+                b"hi",
+            ),
+            (
+                "chunks",
+                b"POST / HTTP/1.1\r\n" + host + b"Connection: close\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+                b"hi",
+            ),
+            (
+                "two at once",
+                b"POST / HTTP/1.1\r\n" + host + b"Content-Length: 1\r\n\r\na"
+                b"POST / HTTP/1.1\r\n" + host + b"Content-Length: 1\r\n"
+                b"Connection: close\r\n\r\nb",
+                b"b",
+            ),
+            ("nothing", b"", b""),
+            (
+                "half a head",
+                b"POST / HTTP/1.1\r\nHost",
+                b"HTTP/1.1 408 ",
+            ),
+            (
+                "large head",
+                b"POST / HTTP/1.1\r\nX: " + b"x" * 2_000,
+                b"HTTP/1.1 431 ",
+            ),
+            (
+                "large body",
+                b"POST / HTTP/1.1\r\n"
+                + host
+                + b"Content-Length: 3000\r\n\r\n"
+                + b"x" * 3_000,
+                b"HTTP/1.1 413 ",
+            ),
+            ("no HTTP", b"\x00\x01\r\n\r\n", b"HTTP/1.1 400 "),
+        ):
+            with self.subTest(name):
+                answer = await self.run_case(raw)
+                self.assertIn(wanted, answer)
+
+    async def run_case(self, raw: bytes) -> bytes:
+        echo = Echo()
+        listener = downstream.Listener(
+            lambda: LIMITS, echo.handle, lambda: False
+        )
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(listener.run)
+            port = await tasks.start(listener.serve, "127.0.0.1:0")
+            answer = await exchange(port, raw)
+            tasks.cancel_scope.cancel()
+        return answer
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_at_the_last_moment_is_answered(self) -> None:
+        echo = Echo(0.1)
+        listener = downstream.Listener(
+            lambda: LIMITS, echo.handle, lambda: True
+        )
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(listener.run)
+            accepting = anyio.CancelScope()
+
+            async def accept(*, task_status: anyio.abc.TaskStatus[int]) -> None:
+                with accepting:
+                    await listener.serve("127.0.0.1:0", task_status=task_status)
+
+            port = await tasks.start(accept)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                client = h11.Connection(h11.CLIENT)
+                request = h11.Request(
+                    method="GET", target="/", headers=[("Host", "a")]
+                )
+                data = client.send(request) or b""
+                await stream.send(
+                    data + (client.send(h11.EndOfMessage()) or b"")
+                )
+                # Accepted, but its task has not begun to read.
+                while not listener.count_connections():
+                    await anyio.lowlevel.checkpoint()
+                accepting.cancel()
+                cut = await listener.drain(deadlines.after(2.0))
+                self.assertEqual(cut, 0)
+                answer = await stream.receive()
+            tasks.cancel_scope.cancel()
+        self.assertEqual((echo.begun, echo.ended), (1, 1))
+        self.assertIn(b"200 OK", answer)
+        self.assertIn(b"connection: close", answer.lower())
+
+    async def test_a_request_that_crosses_a_close_does_not_run(self) -> None:
+        echo = Echo()
+        listener = downstream.Listener(
+            lambda: LIMITS, echo.handle, lambda: True
+        )
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(listener.run)
+            port = await tasks.start(listener.serve, "127.0.0.1:0")
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                while not listener.count_connections():
+                    await anyio.lowlevel.checkpoint()
+                await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                for connection in listener.get_connections():
+                    await connection.close()
+                with self.assertRaises(
+                    (anyio.EndOfStream, anyio.BrokenResourceError)
+                ):
+                    await stream.receive()
+            tasks.cancel_scope.cancel()
+        self.assertEqual(echo.begun, 0)
