Reach the store and unheard processes through peers

Cause: a gateway that the store turns away, or that is cut off from it, could accept no job and lost its lease; processes that were cut off from each other did not know of each other's load, so batch items did not give way to online requests of the cut gateways. Store calls now go through a peer that answers, and reports are passed on to those who miss them.

--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -1,7 +1,9 @@
 """What every process on the platform is made of, gateways and batch alike."""
 
+from collections.abc import Callable
 import os
 import time
+from typing import Protocol
 
 import anyio
 import msgspec
@@ -14,6 +16,7 @@
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
+from eelgrassgate.peering import relay
 from eelgrassgate.peering import reports as reports_lib
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
@@ -26,17 +29,29 @@
 WATCHED_GAP_S = 0.15
 
 
+class RelayedStore(base.Store, Protocol):
+    """A store whose calls may go through another process."""
+
+    def has_answered(self) -> bool:
+        """Tell whether it answers calls that come straight from here."""
+        ...
+
+    def set_relays(self, get_relays: Callable[[], tuple[str, ...]]) -> None:
+        """Set where calls may go that get no answer by themselves."""
+        ...
+
+
 class Outside(msgspec.Struct, frozen=True):
     """The outside world as an adapter gives it.
 
     Attributes:
-        store: The key-value service.
+        store: The key-value service, directly or through a peer.
         documents: Where configuration and endpoints lie there.
         dialect: Names on the wire of requests.
         batch_dialect: How calls on batch jobs look.
     """
 
-    store: base.Store
+    store: RelayedStore
     documents: present_lib.Documents
     dialect: calls.Dialect
     batch_dialect: batch_calls.BatchDialect
@@ -56,6 +71,7 @@
             role,
             own.zone,
             own.reports_address,
+            own.relay_address,
             time.time_ns() + os.getpid(),
         )
         self.watched = mirror.create_mirror(
@@ -67,8 +83,10 @@
         )
         self.loads = loads.create_loads()
         self.reports = reports_lib.create_reports(
-            self.member, self.directory, self.loads
+            self.member, self.directory, self.loads, outside.store.has_answered
         )
+        outside.store.set_relays(self.reports.get_relays)
+        self._relay = relay.create_relay(own.store_address)
         self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self.placement = placement_lib.create_placement(
             self.loads, own.zone, own.region_by_zone
@@ -85,6 +103,7 @@
             tasks.start_soon(self.watched.run)
             tasks.start_soon(self.registration.run)
             tasks.start_soon(self.reports.run)
+            tasks.start_soon(self._relay.run, self.settings.relay_address)
             while True:
                 await anyio.sleep(SWEEP_S)
                 await self.pool.sweep()
--- a/eelgrassgate/gateway/settings.py
+++ b/eelgrassgate/gateway/settings.py
@@ -15,6 +15,8 @@
         region_by_zone: The region of each zone.
         store_address: `host:port` of the key-value service.
         reports_address: `host:port` where it takes reports of others.
+        relay_address: `host:port` where it passes other processes' store
+            calls on.
         grace_s: Seconds from SIGTERM to SIGKILL.
         callers_address: `host:port` for callers; empty for none.
         ready_address: `host:port` for the balancer's question; empty for
@@ -27,6 +29,7 @@
     region_by_zone: Mapping[str, str]
     store_address: str
     reports_address: str
+    relay_address: str
     grace_s: float
     callers_address: str = ""
     ready_address: str = ""
--- a/eelgrassgate/peering/registry.py
+++ b/eelgrassgate/peering/registry.py
@@ -38,6 +38,7 @@
         role: What it does.
         zone: Where it runs.
         address: `host:port` where it takes reports.
+        relay_address: `host:port` where it passes store calls on.
         incarnation: New at each start.
     """
 
@@ -45,6 +46,7 @@
     role: Role
     zone: str
     address: str
+    relay_address: str
     incarnation: int
 
 
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -3,6 +3,7 @@
 Each report is whole, so a lost one is made good by the next.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -33,6 +34,9 @@
         online_by_endpoint: Online requests in hand.
         batch_by_endpoint: Batch items in hand.
         spent_by_workspace: Requests admitted since it started.
+        has_store: Whether it reaches the store by itself.
+        unheard: Processes that it knows and does not hear; who hears them
+            passes their reports on.
     """
 
     name: str
@@ -42,12 +46,15 @@
     online_by_endpoint: dict[str, int]
     batch_by_endpoint: dict[str, int]
     spent_by_workspace: dict[str, float]
+    has_store: bool = True
+    unheard: tuple[str, ...] = ()
 
 
 class Peer(msgspec.Struct):
     """What was last heard of one process."""
 
     report: Report
+    data: bytes
     heard_until: float
 
 
@@ -63,14 +70,17 @@
         member: registry.Member,
         directory: registry.Directory,
         table: loads.Loads,
+        read_has_store: Callable[[], bool],
     ) -> None:
         """Create without peers; see `create_reports`."""
+        self._read_has_store = read_has_store
         self._member = member
         self._directory = directory
         self._loads = table
         self._started = deadlines.now()
         self._number = 0
         self._peers_by_name: dict[str, Peer] = {}
+        self._direct_until_by_name: dict[str, float] = {}
         self._heard: list[HeardListener] = []
         self.spent_by_workspace: dict[str, float] = {}
 
@@ -83,6 +93,11 @@
         peer = self._peers_by_name.get(name)
         return peer is not None and not deadlines.is_past(peer.heard_until)
 
+    def _is_heard_directly(self, name: str) -> bool:
+        """Tell whether a process's own datagrams arrive here."""
+        until = self._direct_until_by_name.get(name)
+        return until is not None and not deadlines.is_past(until)
+
     async def run(self) -> None:
         """Send and receive until cancelled."""
         host, _, port = self._member.address.rpartition(":")
@@ -96,7 +111,7 @@
     async def _receive(self, socket: abc.UDPSocket) -> None:
         while True:
             try:
-                data, _ = await socket.receive()
+                data, (sender, _) = await socket.receive()
             except OSError as error:
                 # An unreachable peer shows up as an error on the socket.
                 logs.say("reports:receive", reason=str(error))
@@ -106,17 +121,24 @@
             except msgspec.MsgspecError as error:
                 logs.say("reports:unreadable", reason=str(error))
                 continue
-            self.take(report)
-
-    def take(self, report: Report) -> None:
-        """Take a report of another process."""
+            member = self._directory.members_by_name.get(report.name)
+            if member and member.address.startswith(f"{sender}:"):
+                self._direct_until_by_name[report.name] = deadlines.after(
+                    HEARD_S
+                )
+            self.take(report, data)
+
+    def take(self, report: Report, data: bytes) -> None:
+        """Take a report of another process, and its bytes to pass on."""
+        if report.name == self._member.name:
+            return
         known = self._peers_by_name.get(report.name)
         earlier = None if known is None else known.report
         is_same = earlier and earlier.incarnation == report.incarnation
         if earlier and is_same and report.number <= earlier.number:
             return
         self._peers_by_name[report.name] = Peer(
-            report, deadlines.after(HEARD_S)
+            report, data, deadlines.after(HEARD_S)
         )
         self._loads.set_peer(
             report.name, report.online_by_endpoint, report.batch_by_endpoint
@@ -124,6 +146,20 @@
         for listener in self._heard:
             listener.take(report, earlier)
 
+    def get_relays(self) -> tuple[str, ...]:
+        """Return where store calls may be sent, nearest first."""
+        members = self._directory.members_by_name
+        found = [
+            members[name]
+            for name, peer in self._peers_by_name.items()
+            if peer.report.has_store
+            and name in members
+            and self._is_heard_directly(name)
+        ]
+        zone = self._member.zone
+        found.sort(key=lambda one: (one.zone != zone, one.name))
+        return tuple(one.relay_address for one in found)
+
     def forget_silent(self) -> None:
         """Count nothing as in hand at processes that are not heard."""
         for name in list(self._peers_by_name):
@@ -139,19 +175,35 @@
             for member in list(self._directory.members_by_name.values()):
                 if member.name == self._member.name:
                     continue
-                host, _, port = member.address.rpartition(":")
-                try:
-                    await socket.sendto(data, host, int(port))
-                except OSError as error:
-                    logs.say(
-                        "reports:send", peer=member.name, reason=str(error)
-                    )
+                await self._send(socket, member, data)
+                for passed in self._list_unheard_by(member.name):
+                    await self._send(socket, member, passed)
             self.forget_silent()
             self._loads.is_changed = False
             await anyio.sleep(CHANGED_EVERY_S)
             with anyio.move_on_after(IDLE_EVERY_S - CHANGED_EVERY_S):
                 await self._loads.wait_changed()
 
+    async def _send(
+        self, socket: abc.UDPSocket, member: registry.Member, data: bytes
+    ) -> None:
+        host, _, port = member.address.rpartition(":")
+        try:
+            await socket.sendto(data, host, int(port))
+        except OSError as error:
+            logs.say("reports:send", peer=member.name, reason=str(error))
+
+    def _list_unheard_by(self, name: str) -> list[bytes]:
+        """Return the reports that a process does not get by itself."""
+        peer = self._peers_by_name.get(name)
+        if peer is None or not peer.report.unheard:
+            return []
+        return [
+            self._peers_by_name[other].data
+            for other in peer.report.unheard
+            if other != name and self.is_heard(other)
+        ]
+
     def _create_report(self) -> Report:
         self._number += 1
         online, batch = self._loads.get_own()
@@ -163,6 +215,13 @@
             online,
             batch,
             dict(self.spent_by_workspace),
+            self._read_has_store(),
+            tuple(
+                name
+                for name in self._directory.members_by_name
+                if name != self._member.name
+                and not self._is_heard_directly(name)
+            ),
         )
 
 
@@ -178,6 +237,7 @@
     member: registry.Member,
     directory: registry.Directory,
     table: loads.Loads,
+    read_has_store: Callable[[], bool],
 ) -> Reports:
     """Create the reports of this process.
 
@@ -185,5 +245,6 @@
         member: This process.
         directory: Where reports are sent.
         table: What is in hand, here and elsewhere.
+        read_has_store: Tells whether the store is reached from here.
     """
-    return Reports(member, directory, table)
+    return Reports(member, directory, table, read_has_store)
--- a/eelgrassgate/platform/boot.py
+++ b/eelgrassgate/platform/boot.py
@@ -107,6 +107,7 @@
         boot.zones,
         boot.platform.address,
         f"{boot.ip}:{boot.internal_ports[0]}",
+        f"{boot.ip}:{boot.internal_ports[0] + 1}",
         boot.bounds.grace_s,
         boot.listen.front,
         boot.listen.ready,
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import Any
 from typing import Final
 from typing import TypeVar
@@ -11,6 +12,8 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate.http1 import upstream
 from eelgrassgate.store import base
 
@@ -29,10 +32,37 @@
 GONE: Final = 410
 NOT_FOUND: Final = 404
 CONDITION_FAILED: Final = 412
+SERVER_ERROR: Final = 500
 # Answers which say that the call took no effect.
 REFUSED: Final = frozenset({400, 403, 404, 413, 429, 503})
 
+# Answers by which the service turns this instance away, though it may serve
+# others.
+TURNED_AWAY: Final = frozenset({429, 503})
+# A call without an answer is sent through a peer as well; answers take 4 ms,
+# between regions 64 ms.
+HEDGE_S: Final = 0.25
+# A relay that failed is left alone for so long.
+RELAY_REST_S: Final = 2.0
+# After the service was lost, calls go through a peer for so long.
+DIRECT_AGAIN_S: Final = 1.0
+
 _T = TypeVar("_T")
+_Answer = tuple[int, bytes]
+
+
+class _Exchange(msgspec.Struct, frozen=True):
+    """A call to send.
+
+    Attributes:
+        request: The request.
+        is_write: Whether it may change something.
+        timeout_s: Longest that its answer may take.
+    """
+
+    request: upstream.Request
+    is_write: bool
+    timeout_s: float
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -106,6 +136,19 @@
         self._address = address
         self._host = address.encode()
         self._pool = upstream.create_pool(CONNECT_TIMEOUT_S)
+        self._get_relays: Callable[[], tuple[str, ...]] = tuple
+        self._direct_again_at = 0.0
+        self._failed_until_by_relay: dict[str, float] = {}
+        self._is_direct = False
+        self._lost = anyio.Event()
+
+    def has_answered(self) -> bool:
+        """Tell whether the service answers calls straight from here."""
+        return self._is_direct
+
+    def set_relays(self, get_relays: Callable[[], tuple[str, ...]]) -> None:
+        """Set where calls may go that get no answer by themselves."""
+        self._get_relays = get_relays
 
     async def read(
         self, key: str
@@ -270,17 +313,158 @@
             headers.append((b"content-length", b"%d" % len(body)))
             headers.append((b"content-type", b"application/json"))
         request = upstream.Request(method, target, tuple(headers), body)
+        exchange = _Exchange(request, is_write, timeout_s)
+        relay = self._choose_relay()
+        if relay is None:
+            return await self._call_directly(exchange)
+        if not deadlines.is_past(self._direct_again_at):
+            return await self._call_relay(exchange, relay)
+        if timeout_s > CALL_TIMEOUT_S:
+            return await self._wait_directly(exchange)
+        return await self._call_both(exchange, relay)
+
+    def _choose_relay(self) -> str | None:
+        """Return the nearest relay that has not failed lately."""
+        for relay in self._get_relays():
+            failed_until = self._failed_until_by_relay.get(relay)
+            if failed_until is None or deadlines.is_past(failed_until):
+                return relay
+        return None
+
+    async def _call_relay(self, exchange: _Exchange, relay: str) -> _Answer:
+        """Call the service through a relay.
+
+        Raises:
+            _CallError: There was no answer.
+        """
+        try:
+            status, body = await self._send(relay, exchange)
+            if status >= SERVER_ERROR or status in TURNED_AWAY:
+                is_unknown = exchange.is_write and status not in TURNED_AWAY
+                raise _fail(is_unknown, f"status {status} through {relay}")
+        except _CallError as error:
+            logs.say("relay:unusable", relay=relay, reason=error.error.message)
+            self._failed_until_by_relay[relay] = deadlines.after(RELAY_REST_S)
+            raise
+        return status, body
+
+    async def _call_directly(self, exchange: _Exchange) -> _Answer:
+        """Call the service, and note whether it answers.
+
+        Raises:
+            _CallError: It gave no answer.
+        """
+        try:
+            status, body = await self._send(self._address, exchange)
+        except _CallError as error:
+            self._note_direct(False, error.error.message)
+            raise
+        self._note_direct(status not in TURNED_AWAY, f"status {status}")
+        return status, body
+
+    async def _wait_directly(self, exchange: _Exchange) -> _Answer:
+        """Wait for a change at the service until it is known to be lost.
+
+        Raises:
+            _CallError: It gave no answer.
+        """
+        found: list[_Answer | _CallError] = []
+
+        async def wait() -> None:
+            try:
+                found.append(await self._call_directly(exchange))
+            except _CallError as error:
+                found.append(error)
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            await self._lost.wait()
+            tasks.cancel_scope.cancel()
+        if not found:
+            raise _fail(False, "the service is not reached from here")
+        if isinstance(found[0], _CallError):
+            raise found[0]
+        return found[0]
+
+    async def _call_both(self, exchange: _Exchange, relay: str) -> _Answer:
+        """Call the service, and a relay too if it does not answer soon.
+
+        A transaction may take effect by the first way and meet its own trace
+        by the second; who commits tells the two apart.
+
+        Raises:
+            _CallError: Neither gave an answer.
+        """
+        answers: list[_Answer] = []
+        failures: list[_CallError] = []
+        has_failed = anyio.Event()
+
+        async def call(directly: bool) -> None:
+            try:
+                if directly:
+                    answer = await self._call_directly(exchange)
+                else:
+                    answer = await self._call_relay(exchange, relay)
+            except _CallError as error:
+                failures.append(error)
+                has_failed.set()
+                return
+            status = answer[0]
+            if status >= SERVER_ERROR or status in TURNED_AWAY:
+                is_unknown = exchange.is_write and status not in TURNED_AWAY
+                failures.append(_fail(is_unknown, f"status {status}"))
+                has_failed.set()
+                return
+            answers.append(answer)
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call, True)
+            with anyio.move_on_after(HEDGE_S) as scope:
+                await has_failed.wait()
+            if scope.cancelled_caught:
+                # Others are not to send their calls this way meanwhile.
+                self._set_direct(False, f"no answer in {HEDGE_S} s")
+            tasks.start_soon(call, False)
+        if answers:
+            return answers[0]
+        unknown = [
+            one for one in failures if one.error.fault is base.Fault.UNKNOWN
+        ]
+        raise (unknown or failures)[0]
+
+    async def _send(self, address: str, exchange: _Exchange) -> _Answer:
+        """Run one exchange with the service or a relay.
+
+        Raises:
+            _CallError: There was no answer.
+        """
         try:
-            with anyio.fail_after(timeout_s):
-                async with self._pool.use(self._address) as connection:
-                    await connection.start(request, _always)
+            with anyio.fail_after(exchange.timeout_s):
+                async with self._pool.use(address) as connection:
+                    await connection.start(exchange.request, _always)
                     parts = [part async for part in connection.iterate()]
                     return connection.head.status, b"".join(parts)
         except upstream.ExchangeError as error:
-            is_unknown = is_write and error.was_sent
+            is_unknown = exchange.is_write and error.was_sent
             raise _fail(is_unknown, str(error)) from error
         except TimeoutError as error:
-            raise _fail(is_write, f"no answer in {timeout_s} s") from error
+            message = f"no answer in {exchange.timeout_s} s"
+            raise _fail(exchange.is_write, message) from error
+
+    def _note_direct(self, is_direct: bool, reason: str) -> None:
+        """Note whether the service answers calls straight from here."""
+        if not is_direct:
+            self._direct_again_at = deadlines.after(DIRECT_AGAIN_S)
+            lost, self._lost = self._lost, anyio.Event()
+            lost.set()
+        self._set_direct(is_direct, reason)
+
+    def _set_direct(self, is_direct: bool, reason: str) -> None:
+        if is_direct != self._is_direct:
+            self._is_direct = is_direct
+            logs.say("store:direct", is_direct=is_direct, reason=reason)
 
 
 def _always(head: upstream.Head) -> bool:
