--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -23,6 +23,9 @@
 # Items that one process starts at one endpoint of another zone for each round
 # of reports; the processes there don't know of them yet.
 AWAY_STARTS: Final = 1
+# How many slots emptier an endpoint must be for its distance, so that another
+# zone is worth two slots.
+SLOTS_PER_S: Final = 130.0
 # Seconds that an item runs, before any has been seen whole.
 FIRST_ITEM_S: Final = 5.0
 ITEM_SMOOTHING: Final = 0.1
@@ -75,7 +78,7 @@
     *,
     may_use: Callable[[catalog.Endpoint], bool] = lambda endpoint: True,
 ) -> catalog.Endpoint | None:
-    """Return the nearest endpoint with a slot to spare, the emptiest first."""
+    """Return an endpoint with a slot to spare: empty and near."""
     best: catalog.Endpoint | None = None
     best_cost = 0.0
     for endpoint in placement.get_endpoints(service):
@@ -84,8 +87,7 @@
         used = table.get(endpoint.id)
         if used + SPARE_SLOTS >= endpoint.slots or not may_use(endpoint):
             continue
-        cost = placement.estimate_distance(endpoint.zone)
-        cost += used / endpoint.slots
+        cost = used + SLOTS_PER_S * placement.estimate_distance(endpoint.zone)
         if best is None or cost < best_cost:
             best, best_cost = endpoint, cost
     return best
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -111,7 +111,7 @@
     async def _receive(self, socket: abc.UDPSocket) -> None:
         while True:
             try:
-                data, (sender, _) = await socket.receive()
+                data, (host, port) = await socket.receive()
             except OSError as error:
                 # An unreachable peer shows up as an error on the socket.
                 logs.say("reports:receive", reason=str(error))
@@ -122,7 +122,7 @@
                 logs.say("reports:unreadable", reason=str(error))
                 continue
             member = self._directory.members_by_name.get(report.name)
-            if member and member.address.startswith(f"{sender}:"):
+            if member and member.address == f"{host}:{port}":
                 self._direct_until_by_name[report.name] = deadlines.after(
                     HEARD_S
                 )
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -34,3 +34,15 @@
     finally:
         stop.set()
         await task
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that nobody uses now."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for one in held:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in held]
+    finally:
+        for one in held:
+            one.close()
