Read results from owners, tell loads by distance, ask several peers for a store call

Batch processes alone now follow what is open, gateways ask the owner and keep what they have read, and learn of members alone. Reports go to other zones and regions less often and carry spending to gateways only.

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -7,12 +7,18 @@
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.batches import owner as owner_lib
+from eelgrassgate.batches import records
+from eelgrassgate.batches import serving
 from eelgrassgate.gateway import node as node_lib
 from eelgrassgate.gateway import settings
 from eelgrassgate.peering import registry
+from eelgrassgate.store import mirror
 
 # Left of the grace period for the last results and the lease.
 LAST_S: Final = 1.0
+# Gateways tell of new jobs at once; this is for claims that lapse and jobs that
+# are ended, which may go on for 3 s.
+OPEN_GAP_S: Final = 0.7
 
 
 class Batch:
@@ -21,9 +27,12 @@
     def __init__(self, node: node_lib.Node) -> None:
         """Create a batch process that is not yet running."""
         self._node = node
+        self._open = mirror.create_mirror(
+            node.outside.store, records.OPEN, gap_s=OPEN_GAP_S
+        )
         self._owner = owner_lib.create_owner(
             node.outside.store,
-            node.watched,
+            self._open,
             node.member,
             node.directory,
             node.registration,
@@ -33,11 +42,13 @@
             node.loads,
             node.present.get_catalog,
         )
+        node.relay.answer = serving.create_serving(self._owner).handle
 
     async def run(self, stop: anyio.Event) -> None:
         """Run jobs until `stop`, then finish what runs."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._node.run)
+            tasks.start_soon(self._open.run)
             tasks.start_soon(self._owner.run)
             await stop.wait()
             logs.say("leaving", in_hand=self._owner.count_running())
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 import time
 from typing import Final
+import urllib.parse
 
 import anyio
 from anyio import abc
 import msgspec
+from returns import result
 import xxhash
 
 from eelgrassgate import deadlines
@@ -34,6 +36,9 @@
 # Pause of an item after a run that did not count.
 RETRY_S: Final = 0.2
 STORE_RETRY_S: Final = 0.3
+# Text of closed jobs that is kept for readers; a tenth of a small instance's
+# memory.
+KEPT_BYTES: Final = 20_000_000
 # Items that one process runs at once; bounds its memory and its connections.
 MOST_RUNNING: Final = 200
 
@@ -87,6 +92,8 @@
         self._read_catalog = read_catalog
         self._jobs_by_id: dict[str, records.Job] = {}
         self._closed: set[str] = set()
+        self._ended: set[str] = set()
+        self._kept_by_id: dict[str, ownership.OwnedJob] = {}
         self._free_since_by_job: dict[str, float] = {}
         self._owned_by_id: dict[str, ownership.OwnedJob] = {}
         self._runs: list[_Run] = []
@@ -100,22 +107,40 @@
         """Follow jobs, heads, claims and ends."""
         for change in changes:
             kind, job = _split_key(change.key)
-            if kind == records.JOBS:
+            if kind == records.OPEN_JOBS:
                 if change.value is None:
                     self._jobs_by_id.pop(job, None)
+                    self._closed.discard(job)
+                    self._end(job)
                 else:
                     self._jobs_by_id[job] = records.decode_job(change.value)
-            elif kind == records.HEADS and change.value is not None:
-                if records.decode_head(change.value).is_closed:
-                    self._closed.add(job)
-            elif kind == records.ENDS and change.value is not None:
-                self._closed.add(job)
-                self._end(job)
+            elif kind == records.ENDS:
+                if change.value is None:
+                    self._ended.discard(job)
+                else:
+                    self._ended.add(job)
+                    self._end(job)
+
+    def offer(self, job: records.Job) -> None:
+        """Take note of a job that was accepted just now."""
+        self._jobs_by_id.setdefault(records.quote(job.id), job)
+
+    def find(self, job: str) -> ownership.OwnedJob | None:
+        """Return a job whose listed results are known here for certain."""
+        name = records.quote(job)
+        kept = self._kept_by_id.get(name)
+        if kept is not None:
+            return kept
+        owned = self._owned_by_id.get(name)
+        if owned is None or not owned.is_claimed() or not owned.is_certain():
+            return None
+        return owned if self._registration.is_valid() else None
 
     def _end(self, job: str) -> None:
-        owned = self._owned_by_id.pop(job, None)
-        if owned is None:
+        owned = self._owned_by_id.get(job)
+        if owned is None or not owned.has_work_left():
             return
+        del self._owned_by_id[job]
         owned.is_ended = True
         for run in self._runs:
             if run.owned is owned:
@@ -136,6 +161,7 @@
             while True:
                 self._follow_lease()
                 if not self.is_draining:
+                    self._close_ended(tasks)
                     self._claim_free(tasks)
                     self._start_items(tasks)
                 self._give_way()
@@ -156,14 +182,16 @@
         now = deadlines.now()
         members = self._directory.get_names(registry.Role.BATCH)
         for name, job in list(self._jobs_by_id.items()):
-            if name in self._closed or name in self._owned_by_id:
+            if name in self._owned_by_id:
+                continue
+            if name in self._closed or name in self._ended:
                 continue
             claim = self._watched.records_by_key.get(f"{records.CLAIMS}{name}")
             if claim is not None and not self._is_left_over(claim):
                 self._free_since_by_job.pop(name, None)
                 continue
             since = self._free_since_by_job.setdefault(name, now)
-            order = scheduling.choose_owner(name, members, _weigh)
+            order = scheduling.choose_owner(name, members, weigh)
             turn = len(order)
             if self._member.name in order:
                 turn = order.index(self._member.name)
@@ -174,6 +202,33 @@
                 self._owned_by_id[name] = owned
                 tasks.start_soon(self._hold, name, owned, tasks)
 
+    def _close_ended(self, tasks: abc.TaskGroup) -> None:
+        """Forget jobs that their callers have ended."""
+        members = self._directory.get_names(registry.Role.BATCH)
+        for name in list(self._ended - self._closed):
+            order = scheduling.choose_owner(name, members, weigh)
+            if order and order[0] == self._member.name:
+                self._closed.add(name)
+                tasks.start_soon(self._close, name)
+
+    async def _close(self, name: str) -> None:
+        job = urllib.parse.unquote(name)
+        closing = base.Transaction((), ownership.make_closing(job))
+        while isinstance(await self._store.commit(closing), result.Failure):
+            await anyio.sleep(STORE_RETRY_S)
+
+    def _keep(self, name: str, owned: ownership.OwnedJob) -> None:
+        """Keep a closed job's results for readers, the latest ones."""
+        self._kept_by_id[name] = owned
+        size = sum(
+            len(one.text)
+            for kept in self._kept_by_id.values()
+            for one in kept.listed
+        )
+        while size > KEPT_BYTES and len(self._kept_by_id) > 1:
+            dropped = self._kept_by_id.pop(next(iter(self._kept_by_id)))
+            size -= sum(len(one.text) for one in dropped.listed)
+
     def _is_left_over(self, claim: base.Record) -> bool:
         """Tell whether an earlier process of this instance made a claim.
 
@@ -220,6 +275,7 @@
             self._free_since_by_job.pop(name, None)
         if not owned.has_work_left():
             self._closed.add(name)
+            self._keep(name, owned)
 
     async def _claim(self, owned: ownership.OwnedJob) -> None:
         """Claim a job.
@@ -449,13 +505,14 @@
 
 
 def _split_key(key: str) -> tuple[str, str]:
-    for kind in (records.JOBS, records.HEADS, records.ENDS, records.CLAIMS):
+    for kind in (records.OPEN_JOBS, records.ENDS, records.CLAIMS):
         if key.startswith(kind):
             return kind, key.removeprefix(kind)
     return "", ""
 
 
-def _weigh(member: str, job: str) -> int:
+def weigh(member: str, job: str) -> int:
+    """Return how much a member is preferred as a job's owner."""
     return int(xxhash.xxh64_intdigest(f"{member} {job}".encode()))
 
 
@@ -475,7 +532,7 @@
 
     Args:
         store: The store.
-        watched: A mirror of `registry.WATCHED`.
+        watched: A mirror of `records.OPEN`.
         member: This process.
         directory: The other processes.
         registration: This process's lease, to which its claims are bound.
--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -3,6 +3,7 @@
 import time
 import uuid
 
+import anyio
 import msgspec
 from returns import result
 
@@ -30,6 +31,7 @@
         waiting: Items that may run now.
         running: Items that run, by id.
         ended: Results that are not committed yet.
+        listed: Results that are committed, in order.
         is_ended: Whether the caller has ended the job.
     """
 
@@ -43,7 +45,8 @@
         self._pending: base.Transaction | None = None
         self._pending_head = records.Head()
         self._pending_results: list[records.Result] = []
-        self._listed: set[str] = set()
+        self._changed = anyio.Event()
+        self.listed: list[records.Result] = []
         self.job = job
         self.claimed = deadlines.now()
         self.waiting: list[items.Progress] = []
@@ -64,6 +67,17 @@
         """Tell whether this process holds the claim, as far as it knows."""
         return bool(self._claim_revision)
 
+    def is_certain(self) -> bool:
+        """Tell whether `listed` is all that the store lists.
+
+        A commit without an answer may have taken effect.
+        """
+        return self._pending is None
+
+    async def wait_listed(self) -> None:
+        """Wait until more results are listed."""
+        await self._changed.wait()
+
     def has_news(self) -> bool:
         """Tell whether there is something to commit."""
         return bool(self.ended or self._pending)
@@ -114,17 +128,19 @@
             StoreFailedError: The store gave no answer.
         """
         await self._load_head()
+        listed: list[records.Result] = []
         for part in range(len(self._head.ends)):
             value = await self._read(records.get_results_key(self.id, part))
-            for one in records.decode_results(value):
-                self._listed.add(one.id)
+            listed.extend(records.decode_results(value))
+        self.listed = listed
+        known = {one.id for one in listed}
         self.waiting = []
         for part in range(self.job.parts):
             value = await self._read(records.get_items_key(self.id, part))
             self.waiting.extend(
                 items.Progress(item)
                 for item in records.decode_items(value)
-                if item.id not in self._listed
+                if item.id not in known
             )
 
     async def _load_head(self) -> None:
@@ -217,6 +233,7 @@
             (
                 base.Write(head_key, msgspec.json.encode(self._pending_head)),
                 base.Write(part_key, msgspec.msgpack.encode(taken)),
+                *(make_closing(self.id) if left == 0 else ()),
             ),
         )
 
@@ -224,7 +241,9 @@
         self._head = self._pending_head
         self._head_revision = revision
         done = self._pending_results
-        self._listed.update(one.id for one in done)
+        self.listed.extend(done)
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
         self.ended = self.ended[len(done) :]
         self._pending = None
         logs.say(
@@ -258,6 +277,16 @@
         self._claim_revision = 0
 
 
+def make_closing(job: str) -> tuple[base.Delete, ...]:
+    """Return the changes after which no process runs a job any more."""
+    quoted = records.quote(job)
+    return (
+        base.Delete(f"{records.OPEN_JOBS}{quoted}"),
+        base.Delete(f"{records.CLAIMS}{quoted}"),
+        base.Delete(f"{records.ENDS}{quoted}"),
+    )
+
+
 def read_claim(value: bytes) -> tuple[str, int]:
     """Return the owner that a claim names and the owner's incarnation."""
     owner, _, incarnation = value.decode().rpartition(" ")
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -1,7 +1,7 @@
 """What the store keeps of batch jobs.
 
-Small records that every process follows lie under `registry.WATCHED`; items
-and results lie elsewhere and are read when they are needed.
+Batch processes follow what is open, under `OPEN`; all else is read when it is
+needed, so that the number of calls does not grow with that of processes.
 """
 
 from typing import Final
@@ -10,12 +10,13 @@
 import msgspec
 
 from eelgrassgate.gateway import calls
-from eelgrassgate.peering import registry
 
-JOBS: Final = f"{registry.WATCHED}jobs/"
-HEADS: Final = f"{registry.WATCHED}heads/"
-ENDS: Final = f"{registry.WATCHED}ends/"
-CLAIMS: Final = f"{registry.WATCHED}claims/"
+OPEN: Final = "eelgrassgate/open/"
+OPEN_JOBS: Final = f"{OPEN}jobs/"
+ENDS: Final = f"{OPEN}ends/"
+CLAIMS: Final = f"{OPEN}claims/"
+JOBS: Final = "eelgrassgate/bulk/jobs/"
+HEADS: Final = "eelgrassgate/bulk/heads/"
 ITEMS: Final = "eelgrassgate/bulk/items/"
 RESULTS: Final = "eelgrassgate/bulk/results/"
 
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -1,7 +1,9 @@
 """Reads jobs, their results and their items for callers."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Final
+import urllib.parse
 
 import anyio
 import msgspec
@@ -9,47 +11,31 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate.batches import owner as owner_lib
 from eelgrassgate.batches import records
-from eelgrassgate.gateway import calls
+from eelgrassgate.batches import scheduling
+from eelgrassgate.batches import serving
+from eelgrassgate.http1 import upstream
+from eelgrassgate.peering import registry
 from eelgrassgate.store import base
-from eelgrassgate.store import mirror
 
 # Values never change, so they are kept; a tenth of a small instance's memory.
 CACHE_BYTES: Final = 24_000_000
-# Most bytes of text in one answer.
-ANSWER_BYTES: Final = 900_000
-# A store that does not answer is asked again while the caller waits.
-RETRY_S: Final = 0.15
+# Job records that are kept, some hundred bytes each.
+CACHED_JOBS: Final = 4_000
+# An owner that does not answer is given up; the store is asked instead.
+OWNER_TIMEOUT_S: Final = 0.4
+# Owners that are asked before the store: the likely one, and its successor.
+OWNERS_ASKED: Final = 2
+# How often a job's head is read while a caller waits and no owner answers.
+HEAD_EVERY_S: Final = 0.4
+OK: Final = 200
 
 
 class UnavailableError(Exception):
     """The store can't say."""
 
 
-class Listing(msgspec.Struct, frozen=True):
-    """Results of a job from a position on."""
-
-    total: int
-    following: int
-    results: tuple[records.Result, ...]
-
-
-class _StaleReader:
-    """Reads values that never change, at the price of a stale read."""
-
-    def __init__(self, store: base.Store) -> None:
-        self._store = store
-
-    async def read(self, key: str) -> base.Record | None:
-        read_stale = getattr(self._store, "read_stale", None)
-        if read_stale is not None:
-            answer = await read_stale(key)
-            if isinstance(answer, result.Success) and answer.unwrap():
-                record: base.Record | None = answer.unwrap()
-                return record
-        return await _read(self._store, key)
-
-
 async def _read(store: base.Store, key: str) -> base.Record | None:
     answer = await store.read(key)
     if isinstance(answer, result.Failure):
@@ -58,15 +44,27 @@
 
 
 class Reader:
-    """Reads jobs from the mirror, and from the store what is not there."""
+    """Reads from owners, and from the store what they don't know."""
 
-    def __init__(self, store: base.Store, watched: mirror.Mirror) -> None:
+    def __init__(
+        self,
+        store: base.Store,
+        directory: registry.Directory,
+        is_heard: Callable[[str], bool],
+    ) -> None:
         """Create a reader; see `create_reader`."""
         self._store = store
-        self._watched = watched
-        self._stale = _StaleReader(store)
+        self._directory = directory
+        self._is_heard = is_heard
+        self._pool = upstream.create_pool(OWNER_TIMEOUT_S)
+        self._jobs_by_id: OrderedDict[str, records.Job] = OrderedDict()
+        self._owners_by_job: dict[str, str] = {}
         self._values_by_key: OrderedDict[str, bytes] = OrderedDict()
         self._cached_bytes = 0
+        self._results_by_job: OrderedDict[str, list[records.Result]] = (
+            OrderedDict()
+        )
+        self._results_bytes = 0
 
     async def find(self, job: str, workspace: str) -> records.Job | None:
         """Return a workspace's job; None only if there certainly is none.
@@ -74,64 +72,165 @@
         Raises:
             UnavailableError: The store can't say.
         """
-        key = f"{records.JOBS}{records.quote(job)}"
-        record = self._watched.records_by_key.get(key)
-        if record is None:
+        found = self._jobs_by_id.get(job)
+        if found is None:
+            key = f"{records.JOBS}{records.quote(job)}"
             record = await _read(self._store, key)
-        if record is None:
-            return None
-        found = records.decode_job(record.value)
+            if record is None:
+                return None
+            found = records.decode_job(record.value)
+            self._remember(found)
         return found if found.workspace == workspace else None
 
+    def _remember(self, job: records.Job) -> None:
+        self._jobs_by_id[job.id] = job
+        if len(self._jobs_by_id) > CACHED_JOBS:
+            dropped, _ = self._jobs_by_id.popitem(last=False)
+            self._owners_by_job.pop(dropped, None)
+
+    async def announce(self, job: records.Job) -> None:
+        """Tell the likely owner of a job that was accepted just now.
+
+        It would see the job in the store as well, a little later.
+        """
+        self._remember(job)
+        for member in self._list_owners(job.id)[:1]:
+            target = f"{serving.PATH}{records.quote(job.id)}"
+            await self._ask(member, b"POST", target, msgspec.json.encode(job))
+
+    def _list_owners(self, job: str) -> list[registry.Member]:
+        """Return the processes that may own a job, the likely one first."""
+        members = self._directory.members_by_name
+        names = [
+            name
+            for name in self._directory.get_names(registry.Role.BATCH)
+            if self._is_heard(name)
+        ]
+        order = scheduling.choose_owner(
+            records.quote(job), names, owner_lib.weigh
+        )
+        known = self._owners_by_job.get(job)
+        if known in order:
+            order.remove(known)
+            order.insert(0, known)
+        return [members[name] for name in order[:OWNERS_ASKED]]
+
+    async def _ask(
+        self,
+        member: registry.Member,
+        method: bytes,
+        target: str,
+        body: bytes = b"",
+        wait_s: float = 0.0,
+    ) -> bytes | None:
+        """Ask another process; None if it can't say."""
+        headers = (
+            (b"host", member.relay_address.encode()),
+            (b"content-length", b"%d" % len(body)),
+        )
+        request = upstream.Request(method, target.encode(), headers, body)
+        try:
+            with anyio.fail_after(wait_s + OWNER_TIMEOUT_S):
+                async with self._pool.use(member.relay_address) as connection:
+                    await connection.start(request, lambda head: True)
+                    parts = [part async for part in connection.iterate()]
+                    status = connection.head.status
+        except (upstream.ExchangeError, TimeoutError) as error:
+            logs.say("owner:silent", peer=member.name, reason=str(error))
+            return None
+        return b"".join(parts) if status == OK else None
+
     async def read_results(
         self, job: records.Job, after: int, wait_until: float
-    ) -> Listing:
+    ) -> serving.Listing:
         """Return results from position `after` on, once there are any.
 
         Raises:
-            UnavailableError: The store can't say.
+            UnavailableError: Neither an owner nor the store can say.
         """
+        known = self._results_by_job.get(job.id, [])
+        if after < len(known):
+            found = serving.select(known, after)
+            return serving.Listing(job.total, after + len(found), found)
+        fetched = await self._fetch(job, after, wait_until)
+        if after == len(known):
+            # A result never changes its place, so it need not be asked again.
+            self._keep_results(job.id, known, fetched)
+        return fetched
+
+    def _keep_results(
+        self,
+        job: str,
+        known: list[records.Result],
+        fetched: serving.Listing,
+    ) -> None:
+        """Keep results that follow on those known, of the latest jobs."""
+        current = self._results_by_job.get(job, [])
+        if len(current) != len(known) or not fetched.results:
+            return
+        self._results_by_job[job] = [*current, *fetched.results]
+        self._results_by_job.move_to_end(job)
+        self._results_bytes += sum(len(one.text) for one in fetched.results)
+        while self._results_bytes > CACHE_BYTES:
+            _, dropped = self._results_by_job.popitem(last=False)
+            self._results_bytes -= sum(len(one.text) for one in dropped)
+
+    async def _fetch(
+        self, job: records.Job, after: int, wait_until: float
+    ) -> serving.Listing:
+        """Ask owners, then the store.
+
+        Raises:
+            UnavailableError: Neither an owner nor the store can say.
+        """
+        for member in self._list_owners(job.id):
+            wait_s = deadlines.compute_remaining(wait_until)
+            query = urllib.parse.urlencode(
+                {"after": after, "wait_ms": int(wait_s * serving.MS_PER_S)}
+            )
+            target = f"{serving.PATH}{records.quote(job.id)}?{query}"
+            body = await self._ask(member, b"GET", target, wait_s=wait_s)
+            if body is not None:
+                self._owners_by_job[job.id] = member.name
+                return msgspec.msgpack.decode(body, type=serving.Listing)
+        self._owners_by_job.pop(job.id, None)
+        return await self._read_from_store(job, after, wait_until)
+
+    async def _read_from_store(
+        self, job: records.Job, after: int, wait_until: float
+    ) -> serving.Listing:
+        key = f"{records.HEADS}{records.quote(job.id)}"
         while True:
-            head = await self._get_head(job.id)
-            is_last = head.is_closed or deadlines.is_past(wait_until)
-            if head.count() > after or is_last:
+            record = await _read(self._store, key)
+            head = records.Head()
+            if record is not None:
+                head = records.decode_head(record.value)
+            is_over = head.is_closed or deadlines.is_past(wait_until)
+            if head.count() > after or is_over:
                 break
-            with anyio.move_on_after(deadlines.compute_remaining(wait_until)):
-                await self._watched.wait()
+            left_s = deadlines.compute_remaining(wait_until)
+            await anyio.sleep(min(HEAD_EVERY_S, left_s))
         found = await self._read_parts(job, head, after)
-        return Listing(job.total, after + len(found), tuple(found))
-
-    async def _get_head(self, job: str) -> records.Head:
-        key = f"{records.HEADS}{records.quote(job)}"
-        if self._watched.is_connected:
-            record = self._watched.records_by_key.get(key)
-        else:
-            record = await _read(self._store, key)
-        return records.decode_head(record.value) if record else records.Head()
+        return serving.Listing(job.total, after + len(found), found)
 
     async def _read_parts(
         self, job: records.Job, head: records.Head, after: int
-    ) -> list[records.Result]:
+    ) -> tuple[records.Result, ...]:
         found: list[records.Result] = []
-        size = 0
         start = 0
         for part, end in enumerate(head.ends):
             if end > after:
                 key = records.get_results_key(job.id, part)
-                value = await self._read_value(key)
-                listed = records.decode_results(value)
-                for one in listed[max(0, after - start) :]:
-                    size += len(one.text)
-                    if found and size > ANSWER_BYTES:
-                        return found
-                    found.append(one)
+                listed = records.decode_results(await self._read_value(key))
+                found.extend(listed[max(0, after - start) :])
+                selected = serving.select(found, 0)
+                if len(selected) < len(found):
+                    return selected
             start = end
-        return found
+        return tuple(found)
 
-    async def find_item(
-        self, job: records.Job, item: str
-    ) -> calls.BatchItem | None:
-        """Return an item of a job.
+    async def find_item(self, job: records.Job, item: str) -> bytes | None:
+        """Return the body of a job's item.
 
         Raises:
             UnavailableError: The store can't say.
@@ -140,7 +239,7 @@
             value = await self._read_value(records.get_items_key(job.id, part))
             for one in records.decode_items(value):
                 if one.id == item:
-                    return one
+                    return one.body
         return None
 
     async def _read_value(self, key: str) -> bytes:
@@ -148,7 +247,7 @@
         if cached is not None:
             self._values_by_key.move_to_end(key)
             return cached
-        record = await self._stale.read(key)
+        record = await _read(self._store, key)
         if record is None:
             logs.say("value:missing", key=key)
             raise UnavailableError(f"{key} is not there")
@@ -160,11 +259,16 @@
         return record.value
 
 
-def create_reader(store: base.Store, watched: mirror.Mirror) -> Reader:
+def create_reader(
+    store: base.Store,
+    directory: registry.Directory,
+    is_heard: Callable[[str], bool],
+) -> Reader:
     """Create a reader.
 
     Args:
         store: The store.
-        watched: A mirror of `registry.WATCHED`.
+        directory: The other processes.
+        is_heard: Tells whether a process can be reached from here.
     """
-    return Reader(store, watched)
+    return Reader(store, directory, is_heard)
--- a/eelgrassgate/batches/submission.py
+++ b/eelgrassgate/batches/submission.py
@@ -39,11 +39,12 @@
     route: catalog.Route,
     workspace: str,
     items: tuple[calls.BatchItem, ...],
-) -> Outcome:
+) -> tuple[records.Job, Outcome]:
     """Keep a job whole, once; a repeat of it is `DONE` again.
 
     Returns:
-        `CONFLICT` if another workspace has a job of that id.
+        The job as it was kept, and the outcome: `CONFLICT` if another
+        workspace has a job of that id.
     """
     now = time.time()
     parts = records.split_items(items)
@@ -62,17 +63,20 @@
         base.Write(records.get_items_key(call.id, number), part)
         for number, part in enumerate(parts)
     ]
-    changes.append(base.Write(key, msgspec.json.encode(job)))
+    value = msgspec.json.encode(job)
+    changes.append(base.Write(key, value))
+    open_key = f"{records.OPEN_JOBS}{records.quote(call.id)}"
+    changes.append(base.Write(open_key, value))
     transaction = base.Transaction((base.Expect(key, 0),), tuple(changes))
     outcome, commit = await _commit(store, transaction, call)
     if commit is None or commit.is_done:
-        return outcome
+        return job, outcome
     for record in commit.found:
         if record.key == key:
             known = records.decode_job(record.value)
             is_same = known.workspace == workspace
-            return Outcome.DONE if is_same else Outcome.CONFLICT
-    return Outcome.UNKNOWN
+            return known, Outcome.DONE if is_same else Outcome.CONFLICT
+    return job, Outcome.UNKNOWN
 
 
 async def end(store: base.Store, call: calls.Call, job: str) -> Outcome:
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -9,6 +9,7 @@
 from eelgrassgate import logs
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
+from eelgrassgate.batches import serving
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
@@ -63,7 +64,7 @@
         """Read the items of a job; None if they can't be read."""
         ...
 
-    def write_listing(self, listing: results.Listing) -> bytes:
+    def write_listing(self, listing: serving.Listing) -> bytes:
         """Write results."""
         ...
 
@@ -104,7 +105,7 @@
         if not items or not call.id or len(call.id) > records.MAX_ID_CHARS:
             await responder.reply(BAD_REQUEST)
             return
-        outcome = await submission.submit(
+        job, outcome = await submission.submit(
             self._store, call, route, workspace, items
         )
         logs.say(
@@ -115,6 +116,8 @@
             outcome=outcome.value,
         )
         await self._reply(responder, outcome, ACCEPTED)
+        if outcome is submission.Outcome.DONE:
+            await self._reader.announce(job)
 
     async def answer(
         self,
@@ -155,7 +158,7 @@
         if found is None:
             await responder.reply(NOT_FOUND)
         else:
-            await responder.reply(OK, _BYTES, found.body)
+            await responder.reply(OK, _BYTES, found)
 
     async def _reply(
         self,
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -33,13 +33,15 @@
         """Create a gateway that is not yet running."""
         self._node = node
         outside = node.outside
-        self._rates = rates_lib.create_rates(node.reports.spent_by_workspace)
+        self._rates = rates_lib.create_rates(node.reports.spend)
         node.reports.subscribe(self._rates)
         node.present.on_catalog(self._rates.configure)
         forwarder = forwarding.create_forwarder(
             outside.dialect, node.pool, node.placement, node.loads
         )
-        reader = results.create_reader(outside.store, node.watched)
+        reader = results.create_reader(
+            outside.store, node.directory, node.reports.is_heard_directly
+        )
         self._service = service_lib.create_service(
             node.present.get_catalog,
             outside.dialect,
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -25,8 +25,8 @@
 # lost opening packet is sent again after a second.
 CONNECT_TIMEOUT_S = 0.5
 SWEEP_S = 1.0
-# Jobs, claims and members are seen by others within the fifth of a second.
-WATCHED_GAP_S = 0.15
+# Members that come or go are seen by the others within half a second.
+MEMBERS_GAP_S = 0.3
 
 
 class RelayedStore(base.Store, Protocol):
@@ -70,14 +70,15 @@
             own.instance,
             role,
             own.zone,
+            own.region,
             own.reports_address,
             own.relay_address,
             time.time_ns() + os.getpid(),
         )
-        self.watched = mirror.create_mirror(
-            outside.store, registry.WATCHED, gap_s=WATCHED_GAP_S
+        self._members = mirror.create_mirror(
+            outside.store, registry.MEMBERS, gap_s=MEMBERS_GAP_S
         )
-        self.directory = registry.create_directory(self.watched)
+        self.directory = registry.create_directory(self._members)
         self.registration = registry.create_registration(
             outside.store, self.member
         )
@@ -86,7 +87,7 @@
             self.member, self.directory, self.loads, outside.store.has_answered
         )
         outside.store.set_relays(self.reports.get_relays)
-        self._relay = relay.create_relay(own.store_address)
+        self.relay = relay.create_relay(own.store_address)
         self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self.placement = placement_lib.create_placement(
             self.loads, own.zone, own.region_by_zone
@@ -100,10 +101,10 @@
         """Run the shared parts until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.present.run)
-            tasks.start_soon(self.watched.run)
+            tasks.start_soon(self._members.run)
             tasks.start_soon(self.registration.run)
             tasks.start_soon(self.reports.run)
-            tasks.start_soon(self._relay.run, self.settings.relay_address)
+            tasks.start_soon(self.relay.run, self.settings.relay_address)
             while True:
                 await anyio.sleep(SWEEP_S)
                 await self.pool.sweep()
--- a/eelgrassgate/gateway/present.py
+++ b/eelgrassgate/gateway/present.py
@@ -17,7 +17,7 @@
 LAPSED_S: Final = 2.2
 # Endpoints write their entries every 1.2 s, and each answer to a watch is a
 # priced call, so changes gather; a draining endpoint may get work for 3 s.
-ENDPOINTS_GAP_S: Final = 1.0
+ENDPOINTS_GAP_S: Final = 1.5
 CONFIG_GAP_S: Final = 0.1
 TICK_S: Final = 0.2
 
--- a/eelgrassgate/gateway/rates.py
+++ b/eelgrassgate/gateway/rates.py
@@ -29,6 +29,20 @@
     at: float
 
 
+class _Told(msgspec.Struct):
+    """What another gateway has told.
+
+    Attributes:
+        incarnation: Since which start.
+        is_whole: Whether it was heard from its start on.
+        spent_by_workspace: What it had admitted by its last report.
+    """
+
+    incarnation: int
+    is_whole: bool
+    spent_by_workspace: dict[str, float]
+
+
 class Rates(reports.HeardListener):
     """The buckets of all workspaces.
 
@@ -38,11 +52,12 @@
 
     def __init__(
         self,
-        spent_by_workspace: dict[str, float],
+        spend: Callable[[str], None],
         clock: Callable[[], float],
     ) -> None:
         """Create without buckets; see `create_rates`."""
-        self._spent_by_workspace = spent_by_workspace
+        self._spend = spend
+        self._told_by_peer: dict[str, _Told] = {}
         self._clock = clock
         self._workspaces_by_name: dict[str, catalog.Workspace] = {}
         self._buckets_by_name: dict[str, _Bucket] = {}
@@ -63,27 +78,26 @@
         bucket = self._fill(workspace)
         if bucket.level >= 1.0:
             bucket.level -= 1.0
-            spent = self._spent_by_workspace.get(name, 0.0)
-            self._spent_by_workspace[name] = spent + 1.0
+            self._spend(name)
             return None
         per_second = workspace.rate_per_s * self.share
         return (1.0 - bucket.level) / max(per_second, 1.0)
 
-    def take(
-        self, report: reports.Report, earlier: reports.Report | None
-    ) -> None:
+    def take(self, report: reports.Report) -> None:
         """Take from the buckets what another gateway has admitted."""
+        told = self._told_by_peer.get(report.name)
+        if told is None or told.incarnation != report.incarnation:
+            told = _Told(report.incarnation, report.uptime_s < FRESH_S, {})
+            self._told_by_peer[report.name] = told
         for name, spent in report.spent_by_workspace.items():
+            before = told.spent_by_workspace.get(name)
+            if before is None:
+                # What it spent before it was heard was set aside then.
+                before = 0.0 if told.is_whole else spent - 1.0
+            told.spent_by_workspace[name] = spent
             workspace = self._workspaces_by_name.get(name)
-            if workspace is None or workspace.rate_per_s <= 0:
-                continue
-            if earlier and earlier.incarnation == report.incarnation:
-                spent -= earlier.spent_by_workspace.get(name, 0.0)
-            elif report.uptime_s > FRESH_S:
-                # Spent before it was heard; its part was set aside then.
-                continue
-            if spent:
-                self._fill(workspace).level -= spent
+            if workspace is not None and workspace.rate_per_s > 0:
+                self._fill(workspace).level -= spent - before
 
     def _fill(self, workspace: catalog.Workspace) -> _Bucket:
         now = self._clock()
@@ -100,13 +114,14 @@
 
 
 def create_rates(
-    spent_by_workspace: dict[str, float],
+    spend: Callable[[str], None],
     clock: Callable[[], float] = deadlines.now,
 ) -> Rates:
     """Create the buckets.
 
     Args:
-        spent_by_workspace: Where admitted requests are counted for reports.
+        spend: Called with the workspace of each admitted request, so that the
+            other gateways are told.
         clock: Returns seconds on a monotonic clock.
     """
-    return Rates(spent_by_workspace, clock)
+    return Rates(spend, clock)
--- a/eelgrassgate/peering/loads.py
+++ b/eelgrassgate/peering/loads.py
@@ -4,8 +4,6 @@
 from collections.abc import Mapping
 import contextlib
 
-import anyio
-
 from eelgrassgate import outcomes
 
 _Counts = dict[str, int]
@@ -15,7 +13,7 @@
     """Counts by endpoint; own ones are exact, others' as last reported.
 
     Attributes:
-        is_changed: Whether own counts changed since it was last reset.
+        version: Goes up whenever own counts change.
     """
 
     def __init__(self) -> None:
@@ -25,8 +23,7 @@
         self._peers_by_name: dict[
             str, dict[outcomes.Class, Mapping[str, int]]
         ] = {}
-        self._changed = anyio.Event()
-        self.is_changed = False
+        self.version = 0
 
     def get(self, endpoint: str) -> int:
         """Return how many requests an endpoint has in hand."""
@@ -55,18 +52,7 @@
     def _add(self, endpoint: str, kind: outcomes.Class, amount: int) -> None:
         _add(self._own[kind], endpoint, amount)
         _add(self._total[kind], endpoint, amount)
-        self.touch()
-
-    def touch(self) -> None:
-        """Note that there is news to tell."""
-        self.is_changed = True
-        changed, self._changed = self._changed, anyio.Event()
-        changed.set()
-
-    async def wait_changed(self) -> None:
-        """Return once own counts have changed."""
-        if not self.is_changed:
-            await self._changed.wait()
+        self.version += 1
 
     def set_peer(
         self,
--- a/eelgrassgate/peering/registry.py
+++ b/eelgrassgate/peering/registry.py
@@ -12,9 +12,7 @@
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
-# All keys of the system that are watched lie under this prefix.
-WATCHED: Final = "eelgrassgate/live/"
-MEMBERS: Final = f"{WATCHED}members/"
+MEMBERS: Final = "eelgrassgate/members/"
 
 # A successor takes over a dead process's work this long after its last
 # renewal; three renewals may fail first.
@@ -37,6 +35,7 @@
         name: Its instance's name.
         role: What it does.
         zone: Where it runs.
+        region: The region of its zone.
         address: `host:port` where it takes reports.
         relay_address: `host:port` where it passes store calls on.
         incarnation: New at each start.
@@ -45,6 +44,7 @@
     name: str
     role: Role
     zone: str
+    region: str
     address: str
     relay_address: str
     incarnation: int
@@ -128,8 +128,6 @@
 
     def _take(self, changes: tuple[base.Change, ...]) -> None:
         for change in changes:
-            if not change.key.startswith(MEMBERS):
-                continue
             name = change.key.removeprefix(MEMBERS)
             if change.value is None:
                 self.members_by_name.pop(name, None)
@@ -156,5 +154,5 @@
 
 
 def create_directory(watched: mirror.Mirror) -> Directory:
-    """Create a directory over a mirror of `WATCHED`."""
+    """Create a directory over a mirror of `MEMBERS`."""
     return Directory(watched)
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -1,4 +1,8 @@
-"""Passes store calls on for processes that the store does not answer."""
+"""Takes calls of the system's other processes.
+
+Store calls are passed on for processes that the store does not answer; calls
+on jobs are answered here, where this process owns jobs.
+"""
 
 from typing import Final
 
@@ -13,17 +17,24 @@
 # Longest that a passed call may take: a watch waits for 10 s.
 CALL_TIMEOUT_S: Final = 14.0
 BAD_GATEWAY: Final = 502
+NOT_FOUND: Final = 404
+JOBS_PATH: Final = b"/jobs/"
 _OWN: Final = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length"}
 )
 
 
 class Relay:
-    """Passes whole requests to one address and whole answers back."""
+    """Passes whole requests to one address and whole answers back.
+
+    Attributes:
+        answer: Answers calls on jobs.
+    """
 
     def __init__(self, address: str) -> None:
         """Create; see `create_relay`."""
         self._address = address
+        self.answer: downstream.Handler | None = None
         self._pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self._listener = downstream.Listener(
             downstream.Limits, self._pass, lambda: False
@@ -38,6 +49,12 @@
     async def _pass(
         self, incoming: downstream.Incoming, responder: downstream.Responder
     ) -> None:
+        if incoming.target.startswith(JOBS_PATH):
+            if self.answer is None:
+                await responder.reply(NOT_FOUND)
+            else:
+                await self.answer(incoming, responder)
+            return
         headers = [one for one in incoming.headers if one[0] not in _OWN]
         if incoming.method != b"GET":
             headers.append((b"content-length", b"%d" % len(incoming.body)))
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -15,12 +15,18 @@
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 
-# A change is told at most this often; bytes between zones are paid for.
-CHANGED_EVERY_S: Final = 0.08
+# A change is told at most this often. Bytes between zones and regions are paid
+# for, and work seldom goes there.
+SAME_ZONE_EVERY_S: Final = 0.08
+SAME_REGION_EVERY_S: Final = 0.15
+OTHER_REGION_EVERY_S: Final = 0.3
 # Without a change, often enough that one lost datagram is not a lost peer.
-IDLE_EVERY_S: Final = 0.25
+IDLE_EVERY_S: Final = 0.3
 # A peer that is silent for three idle reports is not heard.
-HEARD_S: Final = 0.8
+HEARD_S: Final = 0.9
+# What was admitted is told in each report for so long, as some are lost.
+SPENT_TOLD_S: Final = 1.0
+TICK_S: Final = 0.03
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -33,7 +39,8 @@
         uptime_s: Seconds since it started.
         online_by_endpoint: Online requests in hand.
         batch_by_endpoint: Batch items in hand.
-        spent_by_workspace: Requests admitted since it started.
+        spent_by_workspace: Requests admitted since it started, of workspaces
+            with some lately; for gateways only.
         has_store: Whether it reaches the store by itself.
         unheard: Processes that it knows and does not hear; who hears them
             passes their reports on.
@@ -58,6 +65,13 @@
     heard_until: float
 
 
+class _Sent(msgspec.Struct, frozen=True):
+    """When a report was sent, and of which state."""
+
+    at: float
+    version: int
+
+
 _DECODER: Final = msgspec.msgpack.Decoder(Report)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
@@ -82,10 +96,11 @@
         self._peers_by_name: dict[str, Peer] = {}
         self._direct_until_by_name: dict[str, float] = {}
         self._heard: list[HeardListener] = []
-        self.spent_by_workspace: dict[str, float] = {}
+        self._spent_by_workspace: dict[str, float] = {}
+        self._spent_at_by_workspace: dict[str, float] = {}
 
     def subscribe(self, listener: "HeardListener") -> None:
-        """Call `listener.take(report, earlier)` with each newer report."""
+        """Call `listener.take` with each newer report."""
         self._heard.append(listener)
 
     def is_heard(self, name: str) -> bool:
@@ -93,7 +108,7 @@
         peer = self._peers_by_name.get(name)
         return peer is not None and not deadlines.is_past(peer.heard_until)
 
-    def _is_heard_directly(self, name: str) -> bool:
+    def is_heard_directly(self, name: str) -> bool:
         """Tell whether a process's own datagrams arrive here."""
         until = self._direct_until_by_name.get(name)
         return until is not None and not deadlines.is_past(until)
@@ -144,7 +159,7 @@
             report.name, report.online_by_endpoint, report.batch_by_endpoint
         )
         for listener in self._heard:
-            listener.take(report, earlier)
+            listener.take(report)
 
     def get_relays(self) -> tuple[str, ...]:
         """Return where store calls may be sent, nearest first."""
@@ -154,7 +169,7 @@
             for name, peer in self._peers_by_name.items()
             if peer.report.has_store
             and name in members
-            and self._is_heard_directly(name)
+            and self.is_heard_directly(name)
         ]
         zone = self._member.zone
         found.sort(key=lambda one: (one.zone != zone, one.name))
@@ -169,20 +184,68 @@
                 logs.say("peer:silent", peer=name)
 
     async def _send_forever(self, socket: abc.UDPSocket) -> None:
+        """Tell each process what is new, the near ones sooner."""
+        last_by_every: dict[float, _Sent] = {}
         while True:
-            report = self._create_report()
-            data = _ENCODER.encode(report)
-            for member in list(self._directory.members_by_name.values()):
-                if member.name == self._member.name:
-                    continue
-                await self._send(socket, member, data)
-                for passed in self._list_unheard_by(member.name):
-                    await self._send(socket, member, passed)
+            await self._send_due(socket, last_by_every)
             self.forget_silent()
-            self._loads.is_changed = False
-            await anyio.sleep(CHANGED_EVERY_S)
-            with anyio.move_on_after(IDLE_EVERY_S - CHANGED_EVERY_S):
-                await self._loads.wait_changed()
+            await anyio.sleep(TICK_S)
+
+    async def _send_due(
+        self, socket: abc.UDPSocket, last_by_every: dict[float, _Sent]
+    ) -> None:
+        now = deadlines.now()
+        version = self._loads.version
+        due: set[float] = set()
+        for every_s in (
+            SAME_ZONE_EVERY_S,
+            SAME_REGION_EVERY_S,
+            OTHER_REGION_EVERY_S,
+        ):
+            last = last_by_every.get(every_s)
+            wait_s = every_s
+            if last is not None and last.version == version:
+                wait_s = IDLE_EVERY_S
+            if last is None or now >= last.at + wait_s:
+                due.add(every_s)
+                last_by_every[every_s] = _Sent(now, version)
+        if not due:
+            return
+        with_spent = self._encode(self._list_spent(now))
+        without = self._encode({})
+        for member in list(self._directory.members_by_name.values()):
+            if member.name == self._member.name:
+                continue
+            if self._get_every(member) not in due:
+                continue
+            is_gateway = member.role is registry.Role.GATEWAY
+            await self._send(
+                socket, member, with_spent if is_gateway else without
+            )
+            for passed in self._list_unheard_by(member.name):
+                await self._send(socket, member, passed)
+
+    def _get_every(self, member: registry.Member) -> float:
+        """Return how often changes are told to a process."""
+        if member.zone == self._member.zone:
+            return SAME_ZONE_EVERY_S
+        if member.region == self._member.region:
+            return SAME_REGION_EVERY_S
+        return OTHER_REGION_EVERY_S
+
+    def spend(self, workspace: str) -> None:
+        """Count a request that was admitted."""
+        spent = self._spent_by_workspace.get(workspace, 0.0)
+        self._spent_by_workspace[workspace] = spent + 1.0
+        self._spent_at_by_workspace[workspace] = deadlines.now()
+
+    def _list_spent(self, now: float) -> dict[str, float]:
+        """Return what was spent by workspaces that spent lately."""
+        return {
+            name: self._spent_by_workspace[name]
+            for name, at in self._spent_at_by_workspace.items()
+            if now < at + SPENT_TOLD_S
+        }
 
     async def _send(
         self, socket: abc.UDPSocket, member: registry.Member, data: bytes
@@ -204,32 +267,34 @@
             if other != name and self.is_heard(other)
         ]
 
-    def _create_report(self) -> Report:
+    def _encode(self, spent_by_workspace: dict[str, float]) -> bytes:
+        """Return this process's report as bytes."""
         self._number += 1
         online, batch = self._loads.get_own()
-        return Report(
+        report = Report(
             self._member.name,
             self._member.incarnation,
             self._number,
-            deadlines.now() - self._started,
+            round(deadlines.now() - self._started, 1),
             online,
             batch,
-            dict(self.spent_by_workspace),
+            spent_by_workspace,
             self._read_has_store(),
             tuple(
                 name
                 for name in self._directory.members_by_name
                 if name != self._member.name
-                and not self._is_heard_directly(name)
+                and not self.is_heard_directly(name)
             ),
         )
+        return _ENCODER.encode(report)
 
 
 class HeardListener:
     """Takes reports of other processes."""
 
-    def take(self, report: Report, earlier: Report | None) -> None:
-        """Take a report and the one before it, if any was heard."""
+    def take(self, report: Report) -> None:
+        """Take a report."""
         raise NotImplementedError
 
 
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -42,6 +42,8 @@
 # A call without an answer is sent through a peer as well; answers take 4 ms,
 # between regions 64 ms.
 HEDGE_S: Final = 0.25
+# Peers that are asked for one call; those near by may be cut off as well.
+RELAYS_TRIED: Final = 4
 # A relay that failed is left alone for so long.
 RELAY_REST_S: Final = 2.0
 # After the service was lost, calls go through a peer for so long.
@@ -154,18 +156,7 @@
         self, key: str
     ) -> result.Result[base.Record | None, base.StoreError]:
         """Read one key; linearizable."""
-        return await self._read_key(key, {})
-
-    async def read_stale(
-        self, key: str
-    ) -> result.Result[base.Record | None, base.StoreError]:
-        """Read one key that never changes; may miss it for seconds."""
-        return await self._read_key(key, {"allow-stale": "1"})
-
-    async def _read_key(
-        self, key: str, options: dict[str, str]
-    ) -> result.Result[base.Record | None, base.StoreError]:
-        target = _write_target("/kv-key", {"key": key, **options})
+        target = _write_target("/kv-key", {"key": key})
         try:
             status, body = await self._call(b"GET", target, is_write=False)
             if status == NOT_FOUND:
@@ -314,22 +305,39 @@
             headers.append((b"content-type", b"application/json"))
         request = upstream.Request(method, target, tuple(headers), body)
         exchange = _Exchange(request, is_write, timeout_s)
-        relay = self._choose_relay()
-        if relay is None:
+        relays = self._list_relays()
+        if not relays:
             return await self._call_directly(exchange)
         if not deadlines.is_past(self._direct_again_at):
-            return await self._call_relay(exchange, relay)
+            return await self._call_relays(exchange, relays)
         if timeout_s > CALL_TIMEOUT_S:
             return await self._wait_directly(exchange)
-        return await self._call_both(exchange, relay)
+        return await self._call_both(exchange, relays)
+
+    def _list_relays(self) -> list[str]:
+        """Return the nearest relays that have not failed lately."""
+        found = [
+            relay
+            for relay in self._get_relays()
+            if deadlines.is_past(self._failed_until_by_relay.get(relay, 0.0))
+        ]
+        return found[:RELAYS_TRIED]
 
-    def _choose_relay(self) -> str | None:
-        """Return the nearest relay that has not failed lately."""
-        for relay in self._get_relays():
-            failed_until = self._failed_until_by_relay.get(relay)
-            if failed_until is None or deadlines.is_past(failed_until):
-                return relay
-        return None
+    async def _call_relays(
+        self, exchange: _Exchange, relays: list[str]
+    ) -> _Answer:
+        """Call the service through the first relay that passes it on.
+
+        Raises:
+            _CallError: None gave an answer.
+        """
+        failures: list[_CallError] = []
+        for relay in relays:
+            try:
+                return await self._call_relay(exchange, relay)
+            except _CallError as error:
+                failures.append(error)
+        raise _choose_failure(failures)
 
     async def _call_relay(self, exchange: _Exchange, relay: str) -> _Answer:
         """Call the service through a relay.
@@ -387,8 +395,10 @@
             raise found[0]
         return found[0]
 
-    async def _call_both(self, exchange: _Exchange, relay: str) -> _Answer:
-        """Call the service, and a relay too if it does not answer soon.
+    async def _call_both(
+        self, exchange: _Exchange, relays: list[str]
+    ) -> _Answer:
+        """Call the service, and relays too if it does not answer soon.
 
         A transaction may take effect by the first way and meet its own trace
         by the second; who commits tells the two apart.
@@ -405,7 +415,7 @@
                 if directly:
                     answer = await self._call_directly(exchange)
                 else:
-                    answer = await self._call_relay(exchange, relay)
+                    answer = await self._call_relays(exchange, relays)
             except _CallError as error:
                 failures.append(error)
                 has_failed.set()
@@ -429,10 +439,7 @@
             tasks.start_soon(call, False)
         if answers:
             return answers[0]
-        unknown = [
-            one for one in failures if one.error.fault is base.Fault.UNKNOWN
-        ]
-        raise (unknown or failures)[0]
+        raise _choose_failure(failures)
 
     async def _send(self, address: str, exchange: _Exchange) -> _Answer:
         """Run one exchange with the service or a relay.
@@ -476,6 +483,14 @@
     return _CallError(base.StoreError(fault, message))
 
 
+def _choose_failure(failures: list[_CallError]) -> _CallError:
+    """Return a failure that says no more than all of them together."""
+    for failure in failures:
+        if failure.error.fault is base.Fault.UNKNOWN:
+            return failure
+    return failures[0]
+
+
 def _check(status: int, body: bytes) -> None:
     if status == OK:
         return
--- a/tests/site.py
+++ b/tests/site.py
@@ -167,8 +167,8 @@
             self.loads, "z1", {"z1": "r1", "z2": "r1", "z3": "r2"}
         )
         self.pool = upstream.create_pool(0.5)
-        self.spent: dict[str, float] = {}
-        self.rates = rates_lib.create_rates(self.spent)
+        self.spent: list[str] = []
+        self.rates = rates_lib.create_rates(self.spent.append)
         self.address = ""
         self.listener = downstream.Listener(
             lambda: self.catalog.limits, self._handle, lambda: False
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -68,9 +68,10 @@
 async def submit(
     store: base.Store, count: int = 3, workspace: str = site_lib.WORKSPACE
 ) -> submission.Outcome:
-    return await submission.submit(
+    _, outcome = await submission.submit(
         store, make_call(), ROUTE, workspace, make_items(count)
     )
+    return outcome
 
 
 class SubmissionTest(unittest.IsolatedAsyncioTestCase):
@@ -107,7 +108,7 @@
             calls.BatchItem(f"i{number}", "/batch/1", {}, b"x" * 300_000)
             for number in range(7)
         )
-        outcome = await submission.submit(
+        _, outcome = await submission.submit(
             store, make_call(), ROUTE, site_lib.WORKSPACE, large
         )
         self.assertEqual(outcome, submission.Outcome.DONE)
@@ -115,12 +116,10 @@
         assert record is not None
         job = records.decode_job(record.value)
         self.assertEqual((job.total, job.parts), (7, 4))
-        reader = results.create_reader(
-            store, mirror.create_mirror(store, registry.WATCHED)
-        )
+        reader = make_reader(store)
         item = await reader.find_item(job, "i6")
         assert item is not None
-        self.assertEqual(len(item.body), 300_000)
+        self.assertEqual(len(item), 300_000)
 
 
 async def claim_job(store: base.Store, owner: str = "a") -> ownership.OwnedJob:
@@ -231,10 +230,16 @@
         self.assertEqual(await read_ids(store, owned.job), ["i0"])
 
 
-async def read_ids(store: base.Store, job: records.Job) -> list[str]:
-    reader = results.create_reader(
-        store, mirror.create_mirror(store, registry.WATCHED)
+def make_reader(store: base.Store) -> results.Reader:
+    """Return a reader that knows no owner to ask."""
+    directory = registry.create_directory(
+        mirror.create_mirror(store, registry.MEMBERS)
     )
+    return results.create_reader(store, directory, lambda name: False)
+
+
+async def read_ids(store: base.Store, job: records.Job) -> list[str]:
+    reader = make_reader(store)
     listing = await reader.read_results(job, 0, 0.0)
     assert listing.following == len(listing.results)
     return [one.id for one in listing.results]
@@ -259,27 +264,36 @@
         )
         self.pool = upstream.create_pool(0.5)
         self.watched = mirror.create_mirror(
-            self.store, registry.WATCHED, gap_s=0.01
+            self.store, records.OPEN, gap_s=0.01
         )
         self.member = registry.Member(
-            "a", registry.Role.BATCH, "z1", "127.0.0.1:1", "127.0.0.1:2", 1
+            "a",
+            registry.Role.BATCH,
+            "z1",
+            "r1",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            1,
+        )
+        self.directory = registry.create_directory(
+            mirror.create_mirror(self.store, registry.MEMBERS)
         )
-        self.directory = registry.create_directory(self.watched)
         self.directory.members_by_name["a"] = self.member
-        self.registration: Any = Lease()
+        self.registration = Lease()
+        registration: Any = self.registration
         self.owner = owner_lib.create_owner(
             self.store,
             self.watched,
             self.member,
             self.directory,
-            self.registration,
+            registration,
             dialect.PlatformDialect(),
             self.pool,
             self.placement,
             self.loads,
             site_lib.make_catalog,
         )
-        self.reader = results.create_reader(self.store, self.watched)
+        self.reader = make_reader(self.store)
 
     async def wait(self, is_so: Callable[[], bool]) -> None:
         with anyio.fail_after(PATIENCE_S):
@@ -351,8 +365,10 @@
                             one.script = endpoint.Script()
                     found = await world.read_all()
                     self.assertEqual(sorted(found), ["i0", "i1"])
-                    for one in found.values():
-                        self.assertEqual((one.state, one.text), (state, text))
+                    for result in found.values():
+                        self.assertEqual(
+                            (result.state, result.text), (state, text)
+                        )
 
     async def test_an_item_that_fails_is_tried_so_often(self) -> None:
         async with open_world() as world:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -38,6 +38,7 @@
         name,
         role,
         "z1",
+        "r1",
         f"127.0.0.1:{port}",
         f"127.0.0.1:{relay_port}",
         1,
