--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -42,6 +42,7 @@
             node.loads,
             node.present.get_catalog,
         )
+        node.reports.subscribe(self._owner)
         node.relay.answer = serving.create_serving(self._owner).handle
 
     async def run(self, stop: anyio.Event) -> None:
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -24,6 +24,7 @@
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
+from eelgrassgate.peering import reports as reports_lib
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
@@ -63,7 +64,7 @@
     gives_way: bool = False
 
 
-class Owner:
+class Owner(reports_lib.HeardListener):
     """Runs the jobs that this process has claimed."""
 
     def __init__(
@@ -99,6 +100,7 @@
         self._runs: list[_Run] = []
         self._paused_until_by_item: dict[str, float] = {}
         self._run_times = scheduling.RunTimes()
+        self._excess_since_by_endpoint: dict[str, float] = {}
         self._lease = 0
         self.is_draining = False
         watched.subscribe(self._take)
@@ -476,13 +478,28 @@
                 self._placement.note_failure(run.endpoint)
         run.owned.waiting.insert(0, progress)
 
+    def take(self, report: reports_lib.Report) -> None:
+        """Give way at once where a report shows more than the slots hold."""
+        if report.online_by_endpoint:
+            self._give_way()
+
     def _give_way(self) -> None:
         """Stop items where online requests fill the slots."""
+        now = deadlines.now()
         by_endpoint: dict[str, list[_Run]] = {}
         for run in self._runs:
             by_endpoint.setdefault(run.endpoint.id, []).append(run)
         for runs in by_endpoint.values():
-            excess = scheduling.count_excess(self._loads, runs[0].endpoint)
+            endpoint = runs[0].endpoint
+            excess = scheduling.count_excess(self._loads, endpoint)
+            if not excess:
+                self._excess_since_by_endpoint.pop(endpoint.id, None)
+                continue
+            since = self._excess_since_by_endpoint.setdefault(endpoint.id, now)
+            is_near = endpoint.zone == self._member.zone
+            if not is_near and now < since + scheduling.AWAY_PATIENCE_S:
+                # The process near by stops its items first.
+                continue
             stopping = sum(run.gives_way for run in runs)
             # The item that has run for the shortest time loses least.
             runs.sort(key=lambda run: run.began, reverse=True)
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -17,12 +17,21 @@
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.peering import loads
 
-# Slots of each endpoint left to the online requests that arrive while reports
-# travel.
+# Slots of each endpoint left free, so that the next online request finds one;
+# an item that gives way is read anew elsewhere, for some 40 ms of the endpoint.
 SPARE_SLOTS: Final = 1
+# Slots left free in a crest of online requests; an item that starts in a
+# smaller gap gives way again before it has made much.
+CREST_SPARE_SLOTS: Final = 3
+# Online requests in hand at one endpoint from which on it is in a crest, as a
+# part of its slots.
+CREST_PART: Final = 0.5
 # Items that one process starts at one endpoint of another zone for each round
 # of reports; the processes there don't know of them yet.
 AWAY_STARTS: Final = 1
+# How long items at an endpoint of another zone wait for those of the process
+# there to give way; a few reports travel meanwhile.
+AWAY_PATIENCE_S: Final = 0.08
 # How many slots emptier an endpoint must be for its distance, so that another
 # zone is worth two slots.
 SLOTS_PER_S: Final = 130.0
@@ -70,11 +79,17 @@
         return max(LEAST_LEFT_S, self._item_s - ran_s)
 
 
+def get_spare(table: loads.Loads, endpoint: catalog.Endpoint) -> int:
+    """Return how many slots of an endpoint are to be left free."""
+    online = table.get_of(endpoint.id, outcomes.Class.ONLINE)
+    is_crest = online >= CREST_PART * endpoint.slots
+    return CREST_SPARE_SLOTS if is_crest else SPARE_SLOTS
+
+
 def find_room(
     placement: placement_lib.Placement,
     table: loads.Loads,
     service: str,
-    avoid: frozenset[str] = frozenset(),
     *,
     may_use: Callable[[catalog.Endpoint], bool] = lambda endpoint: True,
 ) -> catalog.Endpoint | None:
@@ -82,10 +97,11 @@
     best: catalog.Endpoint | None = None
     best_cost = 0.0
     for endpoint in placement.get_endpoints(service):
-        if endpoint.id in avoid or placement.is_resting(endpoint.id):
+        if placement.is_resting(endpoint.id):
             continue
         used = table.get(endpoint.id)
-        if used + SPARE_SLOTS >= endpoint.slots or not may_use(endpoint):
+        spare = get_spare(table, endpoint)
+        if used + spare >= endpoint.slots or not may_use(endpoint):
             continue
         cost = used + SLOTS_PER_S * placement.estimate_distance(endpoint.zone)
         if best is None or cost < best_cost:
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -177,6 +177,8 @@
                 self._loads.hold(endpoint.id, kind),
                 self._placement.listen(endpoint.id) as note_heard,
             ):
+                if self._loads.get(endpoint.id) > endpoint.slots:
+                    self._loads.press()
                 async with self._pool.use(endpoint.address) as connection:
                     connection.note_heard = note_heard
                     result = await self._exchange(
--- a/eelgrassgate/peering/loads.py
+++ b/eelgrassgate/peering/loads.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 import contextlib
 
+import anyio
+
 from eelgrassgate import outcomes
 
 _Counts = dict[str, int]
@@ -14,6 +16,8 @@
 
     Attributes:
         version: Goes up whenever own counts change.
+        pressed: Set while an endpoint has more in hand than it has slots,
+            and the others have not been told.
     """
 
     def __init__(self) -> None:
@@ -24,6 +28,7 @@
             str, dict[outcomes.Class, Mapping[str, int]]
         ] = {}
         self.version = 0
+        self.pressed = anyio.Event()
 
     def get(self, endpoint: str) -> int:
         """Return how many requests an endpoint has in hand."""
@@ -54,6 +59,10 @@
         _add(self._total[kind], endpoint, amount)
         self.version += 1
 
+    def press(self) -> None:
+        """Have the others told at once, so that batch items give way."""
+        self.pressed.set()
+
     def set_peer(
         self,
         name: str,
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -27,6 +27,8 @@
 # What was admitted is told in each report for so long, as some are lost.
 SPENT_TOLD_S: Final = 1.0
 TICK_S: Final = 0.03
+# Least time between two reports, however urgent.
+LEAST_GAP_S: Final = 0.005
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -187,9 +189,22 @@
         """Tell each process what is new, the near ones sooner."""
         last_by_every: dict[float, _Sent] = {}
         while True:
+            if self._loads.pressed.is_set():
+                self._loads.pressed = anyio.Event()
+                await self._send_pressed(socket)
             await self._send_due(socket, last_by_every)
             self.forget_silent()
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(LEAST_GAP_S)
+            with anyio.move_on_after(TICK_S - LEAST_GAP_S):
+                await self._loads.pressed.wait()
+
+    async def _send_pressed(self, socket: abc.UDPSocket) -> None:
+        """Tell the batch processes of the region that items must give way."""
+        data = self._encode({})
+        for member in list(self._directory.members_by_name.values()):
+            is_near = member.region == self._member.region
+            if member.role is registry.Role.BATCH and is_near:
+                await self._send(socket, member, data)
 
     async def _send_due(
         self, socket: abc.UDPSocket, last_by_every: dict[float, _Sent]
