Serve metrics as text, explain a request from logs, check settings from the command line

Retry-After after a rate refusal was short by rounding; who came back on time was refused again (found by a test). Metrics by prometheus-client, the nearest kin to statsd that can be fetched as text.

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -41,6 +41,7 @@
             node.placement,
             node.loads,
             node.present.get_catalog,
+            node.metrics,
         )
         node.reports.subscribe(self._owner)
         node.relay.answer = serving.create_serving(self._owner).handle
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -20,6 +20,7 @@
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
@@ -79,6 +80,7 @@
         placement: placement_lib.Placement,
         table: loads.Loads,
         read_catalog: Callable[[], catalog.Catalog],
+        metrics: metrics_lib.Metrics,
     ) -> None:
         """Create an owner; see `create_owner`."""
         self._store = store
@@ -91,6 +93,7 @@
         self._placement = placement
         self._loads = table
         self._read_catalog = read_catalog
+        self._metrics = metrics
         self._jobs_by_id: dict[str, records.Job] = {}
         self._closed: set[str] = set()
         self._ended: set[str] = set()
@@ -455,11 +458,13 @@
             last_event=progress.last_event,
             took_ms=round((deadlines.now() - run.began) * 1000),
         )
+        self._metrics.count_run("gave way" if run.gives_way else outcome.value)
         if run.owned.is_ended:
             return
         if outcome is items.Outcome.COMPLETE:
             self._placement.note_success(run.endpoint)
             self._run_times.note(progress.ran_s)
+            self._metrics.observe_item(records.COMPLETED, progress.ran_s)
             run.owned.end(progress, records.COMPLETED, reason)
             return
         if outcome is items.Outcome.IMPOSSIBLE:
@@ -544,6 +549,7 @@
     placement: placement_lib.Placement,
     table: loads.Loads,
     read_catalog: Callable[[], catalog.Catalog],
+    metrics: metrics_lib.Metrics,
 ) -> Owner:
     """Create an owner.
 
@@ -558,6 +564,7 @@
         placement: Knows endpoints.
         table: What endpoints have in hand.
         read_catalog: Returns the configuration in force.
+        metrics: Where runs are counted.
     """
     return Owner(
         store,
@@ -570,4 +577,5 @@
         placement,
         table,
         read_catalog,
+        metrics,
     )
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -37,7 +37,11 @@
         node.reports.subscribe(self._rates)
         node.present.on_catalog(self._rates.configure)
         forwarder = forwarding.create_forwarder(
-            outside.dialect, node.pool, node.placement, node.loads
+            outside.dialect,
+            node.pool,
+            node.placement,
+            node.loads,
+            node.metrics,
         )
         reader = results.create_reader(
             outside.store, node.directory, node.reports.is_heard_directly
@@ -50,6 +54,7 @@
             batch_calls.create_batch_calls(
                 outside.store, reader, outside.dialect, outside.batch_dialect
             ),
+            node.metrics,
         )
         self._listener = downstream.Listener(
             self._read_limits, self._service.handle, self._is_closing
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
@@ -88,12 +89,14 @@
         pool: upstream.Pool,
         placement: placement_lib.Placement,
         table: loads.Loads,
+        metrics: metrics_lib.Metrics,
     ) -> None:
         """Create a forwarder; see `create_forwarder`."""
         self._dialect = dialect
         self._pool = pool
         self._placement = placement
         self._loads = table
+        self._metrics = metrics
 
     async def forward(
         self,
@@ -209,6 +212,7 @@
             reason=reason,
             took_ms=round(took_s * 1000),
         )
+        self._metrics.count_attempt(endpoint.service, result.value)
         _count(progress, result)
         is_broken = responder.has_begun and result is not Result.DONE
         if is_broken and not route.is_idempotent():
@@ -463,6 +467,7 @@
     pool: upstream.Pool,
     placement: placement_lib.Placement,
     table: loads.Loads,
+    metrics: metrics_lib.Metrics,
 ) -> Forwarder:
     """Create a forwarder.
 
@@ -471,5 +476,6 @@
         pool: Connections to endpoints.
         placement: Chooses endpoints.
         table: Where requests in hand are counted.
+        metrics: Where attempts are counted.
     """
-    return Forwarder(dialect, pool, placement, table)
+    return Forwarder(dialect, pool, placement, table, metrics)
--- /dev/null
+++ b/eelgrassgate/gateway/metrics.py
@@ -0,0 +1,117 @@
+"""Counters and latencies of one process, served as text.
+
+Series are bounded: by the configuration's routes and workspaces, and by fixed
+sets of outcomes.
+"""
+
+from typing import Final
+
+import anyio
+import prometheus_client
+
+from eelgrassgate.http1 import downstream
+
+# Seconds; the objectives of online requests lie between 0.1 and 0.5 s, jobs
+# take up to a minute.
+BUCKETS: Final = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 20.0, 60.0)
+# Workspaces and routes beyond these are counted together, as `other`.
+MOST_NAMES: Final = 1_000
+OTHER: Final = "other"
+OK: Final = 200
+_TEXT: Final = ((b"content-type", b"text/plain; version=0.0.4"),)
+
+
+class Metrics:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        """Create metrics at zero; see `create_metrics`."""
+        self._registry = prometheus_client.CollectorRegistry()
+        self._names: set[str] = set()
+        self._requests = prometheus_client.Counter(
+            "eelgrassgate_requests",
+            "Requests by workspace, route and status; 0 for a cut connection.",
+            ("workspace", "route", "status"),
+            registry=self._registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "eelgrassgate_first_byte_seconds",
+            "Seconds from a request to the first byte of its answer.",
+            ("workspace", "kind"),
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._attempts = prometheus_client.Counter(
+            "eelgrassgate_attempts",
+            "Attempts at endpoints by service and result.",
+            ("service", "result"),
+            registry=self._registry,
+        )
+        self._runs = prometheus_client.Counter(
+            "eelgrassgate_item_runs",
+            "Runs of batch items by result.",
+            ("result",),
+            registry=self._registry,
+        )
+        self._items = prometheus_client.Histogram(
+            "eelgrassgate_item_seconds",
+            "Seconds that a batch item ran, all its runs together.",
+            ("state",),
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+
+    def count_request(self, workspace: str, route: str, status: int) -> None:
+        """Count an answered request."""
+        self._requests.labels(
+            self._bound(workspace), self._bound(route), str(status)
+        ).inc()
+
+    def observe_first_byte(
+        self, workspace: str, kind: str, seconds: float
+    ) -> None:
+        """Take how long a caller waited for the first byte."""
+        self._latency.labels(self._bound(workspace), kind).observe(seconds)
+
+    def count_attempt(self, service: str, result: str) -> None:
+        """Count an attempt at an endpoint."""
+        self._attempts.labels(self._bound(service), result).inc()
+
+    def count_run(self, result: str) -> None:
+        """Count a run of a batch item."""
+        self._runs.labels(result).inc()
+
+    def observe_item(self, state: str, seconds: float) -> None:
+        """Take how long a batch item ran."""
+        self._items.labels(state).observe(seconds)
+
+    def _bound(self, name: str) -> str:
+        if name in self._names:
+            return name
+        if len(self._names) >= MOST_NAMES:
+            return OTHER
+        self._names.add(name)
+        return name
+
+    def render(self) -> bytes:
+        """Return all metrics in the text exposition format."""
+        return bytes(prometheus_client.generate_latest(self._registry))
+
+    async def run(self, address: str) -> None:
+        """Serve the metrics at `host:port` until cancelled."""
+        listener = downstream.Listener(
+            downstream.Limits, self._answer, lambda: False
+        )
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(listener.run)
+            tasks.start_soon(listener.serve, address)
+
+    async def _answer(
+        self, incoming: downstream.Incoming, responder: downstream.Responder
+    ) -> None:
+        await responder.reply(OK, _TEXT, self.render())
+
+
+def create_metrics() -> Metrics:
+    """Create the metrics of a process."""
+    return Metrics()
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -10,6 +10,7 @@
 
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import present as present_lib
 from eelgrassgate.gateway import settings
@@ -82,6 +83,7 @@
         self.registration = registry.create_registration(
             outside.store, self.member
         )
+        self.metrics = metrics_lib.create_metrics()
         self.loads = loads.create_loads()
         self.reports = reports_lib.create_reports(
             self.member, self.directory, self.loads, outside.store.has_answered
@@ -104,6 +106,7 @@
             tasks.start_soon(self._members.run)
             tasks.start_soon(self.registration.run)
             tasks.start_soon(self.reports.run)
+            tasks.start_soon(self.metrics.run, self.settings.metrics_address)
             tasks.start_soon(self.relay.run, self.settings.relay_address)
             while True:
                 await anyio.sleep(SWEEP_S)
--- a/eelgrassgate/gateway/rates.py
+++ b/eelgrassgate/gateway/rates.py
@@ -18,6 +18,8 @@
 # A gateway that starts doesn't know what was spent just before; half of the
 # burst is what a window can bear twice.
 FIRST_LEVEL: Final = 0.5
+# Headers carry whole milliseconds; who returns sooner is refused again.
+ROUNDING_S: Final = 0.001
 # A process younger than this has told all that it spent in its first report.
 FRESH_S: Final = 2.0
 
@@ -81,7 +83,8 @@
             self._spend(name)
             return None
         per_second = workspace.rate_per_s * self.share
-        return (1.0 - bucket.level) / max(per_second, 1.0)
+        wait_s = (1.0 - bucket.level) / max(per_second, 1.0)
+        return wait_s + ROUNDING_S
 
     def take(self, report: reports.Report) -> None:
         """Take from the buckets what another gateway has admitted."""
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -10,6 +10,7 @@
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import forwarding
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.http1 import downstream
 
@@ -31,6 +32,7 @@
         rates: rates_lib.Rates,
         forwarder: forwarding.Forwarder,
         batches: batch_calls.BatchCalls,
+        metrics: metrics_lib.Metrics,
     ) -> None:
         """Create; see `create_service`."""
         self._read_catalog = read_catalog
@@ -38,6 +40,7 @@
         self._rates = rates
         self._forwarder = forwarder
         self._batches = batches
+        self._metrics = metrics
 
     async def handle(
         self, incoming: downstream.Incoming, responder: downstream.Responder
@@ -113,6 +116,7 @@
                 workspace=workspace,
                 share=self._rates.share,
             )
+            self._metrics.count_request(workspace, route.name, TOO_MANY)
             headers = self._dialect.write_refusal(retry_after_s)
             await responder.reply(TOO_MANY, headers)
             return
@@ -125,8 +129,14 @@
                 id=call.id,
                 route=route.name,
                 workspace=workspace,
+                status=responder.status,
                 took_ms=round((deadlines.now() - began) * 1000),
             )
+            self._metrics.count_request(workspace, route.name, responder.status)
+            if responder.begun_at:
+                self._metrics.observe_first_byte(
+                    workspace, route.kind.value, responder.begun_at - began
+                )
 
     async def _refuse(
         self,
@@ -148,6 +158,7 @@
     rates: rates_lib.Rates,
     forwarder: forwarding.Forwarder,
     batches: batch_calls.BatchCalls,
+    metrics: metrics_lib.Metrics,
 ) -> Service:
     """Create the service.
 
@@ -157,5 +168,6 @@
         rates: Rates of workspaces.
         forwarder: Forwards requests.
         batches: Answers calls on batch jobs.
+        metrics: Where requests are counted.
     """
-    return Service(read_catalog, dialect, rates, forwarder, batches)
+    return Service(read_catalog, dialect, rates, forwarder, batches, metrics)
--- a/eelgrassgate/gateway/settings.py
+++ b/eelgrassgate/gateway/settings.py
@@ -17,6 +17,7 @@
         reports_address: `host:port` where it takes reports of others.
         relay_address: `host:port` where it passes other processes' store
             calls on.
+        metrics_address: `host:port` where it shows its metrics.
         grace_s: Seconds from SIGTERM to SIGKILL.
         callers_address: `host:port` for callers; empty for none.
         ready_address: `host:port` for the balancer's question; empty for
@@ -30,6 +31,7 @@
     store_address: str
     reports_address: str
     relay_address: str
+    metrics_address: str
     grace_s: float
     callers_address: str = ""
     ready_address: str = ""
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -63,7 +63,13 @@
 
 
 class Responder:
-    """Writes one response."""
+    """Writes one response.
+
+    Attributes:
+        status: Its status, 0 before it has begun.
+        begun_at: When it began, 0 before.
+        is_closing: Whether the connection closes after it.
+    """
 
     def __init__(
         self, connection: h11.Connection, stream: abc.SocketStream
@@ -71,9 +77,19 @@
         """Create for the request that the connection has just read."""
         self._http = connection
         self._stream = stream
-        self.has_begun = False
+        self.status = 0
+        self.begun_at = 0.0
         self.is_closing = False
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of the response has been written."""
+        return bool(self.status)
+
+    def _note_begun(self, status: int) -> None:
+        self.status = status
+        self.begun_at = deadlines.now()
+
     async def begin(
         self,
         status: int,
@@ -81,7 +97,7 @@
         length: int | None = None,
     ) -> None:
         """Write the head; without a length the body goes in chunks."""
-        self.has_begun = True
+        self._note_begun(status)
         sent = list(headers)
         if length is not None:
             sent.append((b"content-length", b"%d" % length))
@@ -110,7 +126,7 @@
         body: bytes = b"",
     ) -> None:
         """Write a whole response in one go."""
-        self.has_begun = True
+        self._note_begun(status)
         sent = [*headers, (b"content-length", b"%d" % len(body))]
         if self.is_closing:
             sent.append((b"connection", b"close"))
--- a/eelgrassgate/main.py
+++ b/eelgrassgate/main.py
@@ -9,8 +9,10 @@
 from eelgrassgate.operators import configuring
 from eelgrassgate.operators import daemons
 from eelgrassgate.operators import exits
+from eelgrassgate.operators import explaining
 from eelgrassgate.operators import jobbing
 from eelgrassgate.operators import keying
+from eelgrassgate.operators import settling
 from eelgrassgate.operators import status
 
 COMMANDS: Final = (
@@ -29,6 +31,8 @@
     jobbing.CANCEL,
     status.STATUS,
     status.FORGET,
+    explaining.EXPLAIN,
+    settling.SETTINGS,
 )
 HELP_WORDS: Final = ("help", "--help", "-h")
 
--- /dev/null
+++ b/eelgrassgate/operators/settling.py
@@ -0,0 +1,44 @@
+"""Checks the settings file that the platform writes for a process."""
+
+from typing import Any
+
+from absl import flags
+import msgspec
+from returns import result
+
+from eelgrassgate.operators import command
+from eelgrassgate.operators import exits
+from eelgrassgate.platform import boot
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        "file",
+        None,
+        "The settings file, TOML; by default the one that the environment"
+        " names.",
+        flag_values=values,
+    )
+
+
+def _run(values: Any) -> int:
+    loaded = boot.load(values.file)
+    if isinstance(loaded, result.Failure):
+        command.print_problems(loaded.failure().render())
+        return exits.FINDINGS
+    shown = msgspec.json.format(msgspec.json.encode(loaded.unwrap()))
+    command.print_lines((shown.decode(),))
+    return exits.OK
+
+
+SETTINGS = command.Command(
+    words="settings",
+    summary="Check a process's settings, and show what it would run with.",
+    details="""
+Prints all findings at once, or the settings as JSON.
+
+Example: eelgrassgate settings --file /etc/eelgrassgate/local.toml
+""",
+    define=_define,
+    run=_run,
+)
--- a/eelgrassgate/platform/boot.py
+++ b/eelgrassgate/platform/boot.py
@@ -13,7 +13,8 @@
 from eelgrassgate.gateway import settings
 
 VARIABLE: Final = "EELGRASSGATE_BOOT"
-MS_PER_S: Final = 1000.0
+# The deploy file names the same port.
+METRICS_PORT: Final = 9_090
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -108,6 +109,7 @@
         boot.platform.address,
         f"{boot.ip}:{boot.internal_ports[0]}",
         f"{boot.ip}:{boot.internal_ports[0] + 1}",
+        f"{boot.ip}:{METRICS_PORT}",
         boot.bounds.grace_s,
         boot.listen.front,
         boot.listen.ready,
--- a/tests/site.py
+++ b/tests/site.py
@@ -11,6 +11,7 @@
 
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import forwarding
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.gateway import service as service_lib
@@ -169,6 +170,7 @@
         self.pool = upstream.create_pool(0.5)
         self.spent: list[str] = []
         self.rates = rates_lib.create_rates(self.spent.append)
+        self.metrics = metrics_lib.create_metrics()
         self.address = ""
         self.listener = downstream.Listener(
             lambda: self.catalog.limits, self._handle, lambda: False
@@ -183,8 +185,10 @@
                 self.pool,
                 self.placement,
                 self.loads,
+                self.metrics,
             ),
             batches,
+            self.metrics,
         )
 
     async def _handle(
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -18,6 +18,7 @@
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
@@ -292,6 +293,7 @@
             self.placement,
             self.loads,
             site_lib.make_catalog,
+            metrics_lib.create_metrics(),
         )
         self.reader = make_reader(self.store)
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,340 @@
+"""What the adapter reads from the platform, and what it writes."""
+
+import base64
+import os
+import pathlib
+import tempfile
+import tomllib
+from typing import Any
+from typing import Final
+import unittest
+
+import anyio
+import msgspec
+from returns import result
+
+from eelgrassgate import deadlines
+from eelgrassgate.gateway import batch_calls
+from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import present as present_lib
+from eelgrassgate.http1 import downstream
+from eelgrassgate.platform import batch_calls as platform_batch_calls
+from eelgrassgate.platform import boot
+from eelgrassgate.platform import dialect
+from eelgrassgate.platform import documents
+from eelgrassgate.store import base
+from eelgrassgate.store import faulty
+from eelgrassgate.store import memory
+
+ROOT: Final = pathlib.Path(__file__).parent.parent
+PATIENCE_S: Final = 6.0
+CONFIG: Final[dict[str, Any]] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "short",
+            "host": "Desk.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeout-ms": 5000,
+            "target-latency-ms": 300,
+            "priority": 0,
+            "service": "engine",
+            "max-attempts": 2,
+            "allow-resume": True,
+            "later-field": {"x": 1},
+        },
+        {
+            "name": "long",
+            "host": "desk.example",
+            "prefix": "/a/b/",
+            "kind": "batch",
+            "max-attempts": 3,
+            "completion-target-ms": 18000,
+            "retention-s": 60,
+            "traffic-split": [
+                {"service": "engine", "weight": 90},
+                {"service": "other", "weight": 10},
+            ],
+        },
+    ],
+    "services": [{"name": "engine", "max-connections": 300, "engine": {}}],
+    "limits": {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 4194304,
+        "header-timeout-ms": 3000,
+        "idle-timeout-ms": 15000,
+    },
+    "tenants": [
+        {
+            "name": "huka",
+            "api-keys": ["k1", "k2"],
+            "priority": 1,
+            "rate-per-s": 48,
+            "burst": 40,
+        }
+    ],
+}
+ENTRY: Final[dict[str, Any]] = {
+    "service": "engine",
+    "address": "10.0.0.9:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "sequence": 4,
+    "born": 1_800_000_000_000,
+}
+SETTINGS: Final = """
+node-name = "front-1"
+ip = "10.1.0.5"
+zone = "z1"
+region = "r1"
+internal-ports = [7660, 7675]
+later = 3
+[zones]
+z1 = "r1"
+[listen]
+front = "10.1.0.5:8405"
+ready = "10.1.0.5:8406"
+[bounds]
+grace-s = 8
+later-s = 1
+[platform]
+address = "10.200.1.7:8408"
+"""
+
+
+class ConfigTest(unittest.TestCase):
+    def test_routes(self) -> None:
+        found = documents.decode_config(msgspec.json.encode(CONFIG))
+        assert found is not None
+        for path, name in (
+            ("/a/", "short"),
+            ("/a/x", "short"),
+            ("/a/b/c", "long"),
+            ("/a/b", "short"),
+            ("/b/", None),
+        ):
+            route = found.find_route("DESK.example", path)
+            self.assertEqual(route and route.name, name, path)
+        long = found.get_route("long")
+        assert long is not None
+        self.assertEqual(long.kind, catalog.Kind.BATCH)
+        self.assertEqual((long.completion_s, long.retention_s), (18.0, 60.0))
+        self.assertEqual([one.weight for one in long.targets], [90, 10])
+        self.assertEqual(found.workspace_by_key, {"k1": "huka", "k2": "huka"})
+        self.assertEqual(found.limits.idle_timeout_s, 15.0)
+        self.assertTrue(found.services_by_name["engine"].is_engine)
+
+    def test_what_can_not_be_read_is_passed_over(self) -> None:
+        for value in (b"", b"{}", b'{"version": "7"}', b"\xff\x00"):
+            self.assertIsNone(documents.decode_config(value))
+
+    def test_endpoints(self) -> None:
+        for name, change, is_endpoint in (
+            ("sound", {}, True),
+            ("draining", {"state": "draining"}, True),
+            ("a later field", {"later": 1}, True),
+            ("a state not named", {"state": "resting"}, False),
+            ("slots as text", {"slots": "8"}, False),
+            ("no slots", {"slots": 0}, False),
+            ("a start with a fraction", {"born": 1.5}, False),
+            ("no service", {"service": None}, False),
+        ):
+            with self.subTest(name):
+                value = msgspec.json.encode({**ENTRY, **change})
+                found = documents.decode_endpoint("servers/i-1", value)
+                self.assertEqual(found is not None, is_endpoint)
+        for field in ENTRY:
+            left = {key: one for key, one in ENTRY.items() if key != field}
+            value = msgspec.json.encode(left)
+            self.assertIsNone(documents.decode_endpoint("servers/i-1", value))
+
+
+class SettingsTest(unittest.TestCase):
+    def load(self, text: str) -> Any:
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "local.toml")
+            pathlib.Path(path).write_text(text, "utf-8")
+            return boot.load(path)
+
+    def test_sound(self) -> None:
+        node = self.load(SETTINGS).unwrap()
+        self.assertEqual(node.reports_address, "10.1.0.5:7660")
+        self.assertEqual(node.relay_address, "10.1.0.5:7661")
+        self.assertEqual(node.callers_address, "10.1.0.5:8405")
+        self.assertEqual(node.grace_s, 8.0)
+
+    def test_all_findings_come_at_once(self) -> None:
+        broken = SETTINGS.replace('zone = "z1"\n', "").replace(
+            "grace-s = 8", 'grace-s = "8"'
+        )
+        loaded = self.load(broken)
+        assert isinstance(loaded, result.Failure)
+        places = [one.place for one in loaded.failure().get_findings()]
+        self.assertEqual(sorted(places), ["$.bounds.grace-s", "$.zone"])
+
+    def test_no_file(self) -> None:
+        for text in ("= 1", None):
+            loaded = boot.load("/nowhere") if text is None else self.load(text)
+            self.assertIsInstance(loaded, result.Failure)
+
+
+class DialectTest(unittest.TestCase):
+    def read(self, *headers: tuple[bytes, bytes]) -> calls.Call:
+        return dialect.PlatformDialect().read_call(
+            downstream.Incoming(
+                b"POST", b"/a/x?b=1", headers, b"q", deadlines.now()
+            )
+        )
+
+    def test_a_request(self) -> None:
+        call = self.read(
+            (b"host", b"desk.example:8080"),
+            (b"request-id", b"r1"),
+            (b"time-remaining", b"1500"),
+            (b"authorization", b"bearer  k1 "),
+        )
+        self.assertEqual((call.host, call.path), ("desk.example", "/a/x"))
+        self.assertEqual((call.id, call.key), ("r1", "k1"))
+        self.assertAlmostEqual(
+            deadlines.compute_remaining(call.deadline), 1.5, delta=0.2
+        )
+
+    def test_odd_headers(self) -> None:
+        for value in (b"", b"x", b"-5", b"1.5"):
+            call = self.read((b"time-remaining", value))
+            self.assertGreater(deadlines.compute_remaining(call.deadline), 20.0)
+        for value in (b"Basic k1", b"Bearer", b"Bearer "):
+            self.assertIsNone(self.read((b"authorization", value)).key)
+
+    def test_calls_on_jobs(self) -> None:
+        for method, target, wanted in (
+            (b"GET", b"/lots/j?after=3", batch_calls.ReadResults("j", 3)),
+            (b"GET", b"/lots/j", batch_calls.ReadResults("j", 0)),
+            (b"GET", b"/lots/j?after=x", batch_calls.ReadResults("j", 0)),
+            (b"DELETE", b"/lots/j", batch_calls.EndJob("j")),
+            (b"GET", b"/items/j?id=i", batch_calls.ReadItem("j", "i")),
+            (b"POST", b"/lots/j", None),
+            (b"GET", b"/a/x", None),
+        ):
+            call = dialect.PlatformDialect().read_call(
+                downstream.Incoming(method, target, (), b"", 0.0)
+            )
+            found = platform_batch_calls.PlatformBatchDialect().read_job_call(
+                call
+            )
+            self.assertEqual(found, wanted, target)
+
+    def test_items(self) -> None:
+        read = platform_batch_calls.PlatformBatchDialect().read_items
+        item = {"id": "i", "path": "/a/1", "body": "cQ==", "tokens": 4}
+        found = read(msgspec.json.encode({"items": [item]}))
+        assert found is not None
+        self.assertEqual(found[0].body, base64.b64decode("cQ=="))
+        for body in (
+            b"",
+            b"{}",
+            msgspec.json.encode({"items": [{**item, "body": "*"}]}),
+            msgspec.json.encode({"items": [item] * 201}),
+        ):
+            self.assertIsNone(read(body))
+
+
+class Documents:
+    config_key = documents.CONFIG_KEY
+    endpoints_prefix = documents.ENDPOINTS
+    decode_config = staticmethod(documents.decode_config)
+    decode_endpoint = staticmethod(documents.decode_endpoint)
+
+
+async def put(store: base.Store, key: str, document: Any) -> None:
+    change: base.Write | base.Delete = base.Delete(key)
+    if document is not None:
+        change = base.Write(key, msgspec.json.encode(document))
+    await store.commit(base.Transaction((), (change,)))
+
+
+class PresentTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = faulty.create_faulty_store(
+            memory.create_memory_store(progress_s=0.02)
+        )
+        self.present = present_lib.create_present(self.store, Documents())
+
+    async def wait(self, is_so: Any) -> None:
+        with anyio.fail_after(PATIENCE_S):
+            while not is_so():
+                await anyio.sleep(0.01)
+
+    async def test_never_back_to_an_older_configuration(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.present.run)
+            await put(self.store, "op/config", CONFIG)
+            await self.wait(lambda: self.present.catalog.version == 7)
+            await put(self.store, "op/config", {**CONFIG, "version": 6})
+            await put(self.store, "op/config", {"version": "broken"})
+            await anyio.sleep(0.3)
+            self.assertEqual(self.present.catalog.version, 7)
+            await put(self.store, "op/config", {**CONFIG, "version": 9})
+            await self.wait(lambda: self.present.catalog.version == 9)
+            tasks.cancel_scope.cancel()
+
+    async def test_an_endpoint_that_leaves_is_gone_at_once(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.present.run)
+            await put(self.store, "servers/i-1", ENTRY)
+            await self.wait(lambda: "i-1" in self.present.endpoints_by_id)
+            # Connected for longer than entries take to come back.
+            await anyio.sleep(present_lib.LAPSED_S)
+            await put(self.store, "servers/i-1", None)
+            with anyio.fail_after(2.0):
+                while "i-1" in self.present.endpoints_by_id:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    async def test_an_entry_that_lapsed_in_an_outage_may_come_back(
+        self,
+    ) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.present.run)
+            for name in ("i-1", "i-2"):
+                await put(self.store, f"servers/{name}", ENTRY)
+            await self.wait(lambda: len(self.present.endpoints_by_id) == 2)
+            self.store.script.is_down = True
+            await anyio.sleep(0.5)
+            self.store.script.is_down = False
+            for name in ("i-1", "i-2"):
+                await put(self.store, f"servers/{name}", None)
+            await anyio.sleep(1.0)
+            self.assertEqual(len(self.present.endpoints_by_id), 2)
+            await put(self.store, "servers/i-1", ENTRY)
+            await self.wait(
+                lambda: list(self.present.endpoints_by_id) == ["i-1"]
+            )
+            tasks.cancel_scope.cancel()
+
+
+class DeployTest(unittest.TestCase):
+    def test_the_deploy_file_names_what_is_there(self) -> None:
+        text = (ROOT / "deploy" / "system.toml").read_text("utf-8")
+        deploy = tomllib.loads(text)
+        roles = {
+            one["run"].split()[-1]: one["serves"]
+            for one in deploy["roles"].values()
+        }
+        self.assertEqual(roles, {"gateway": ["front"], "batch": ["store"]})
+        self.assertIn("--require-hashes", deploy["build"])
+
+    def test_only_the_adapter_knows_the_wire(self) -> None:
+        words = ("Time-Remaining", "time-remaining", "kv-txn", "op/config")
+        for path in (ROOT / "eelgrassgate").rglob("*.py"):
+            parent = path.parent.name
+            if parent in {"platform", "standins"}:
+                continue
+            text = path.read_text("utf-8")
+            found = [word for word in words if word in text]
+            self.assertEqual(found, [], path)
