--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -33,8 +33,9 @@
 STEP_S: Final = 0.05
 # Results that end together are listed by one call, since calls are priced.
 GATHER_S: Final = 0.25
-# How long each next member in line waits for the one before it to claim.
-CLAIM_TURN_S: Final = 0.6
+# How long each next member in line waits for the one before it to claim; it
+# sees a claim up to 0.8 s late.
+CLAIM_TURN_S: Final = 1.2
 # Pause of an item after a run that did not count.
 RETRY_S: Final = 0.2
 STORE_RETRY_S: Final = 0.3
