--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 import anyio
+from returns import result
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
@@ -10,8 +11,10 @@
 from eelgrassgate.batches import records
 from eelgrassgate.batches import serving
 from eelgrassgate.gateway import node as node_lib
+from eelgrassgate.gateway import present
 from eelgrassgate.gateway import settings
 from eelgrassgate.peering import registry
+from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
 # Left of the grace period for the last results and the lease.
@@ -19,6 +22,9 @@
 # Gateways tell of new jobs at once; this is for claims that lapse and jobs that
 # are ended, which may go on for 3 s.
 OPEN_GAP_S: Final = 0.7
+# An instance is told to be empty this long before it has to be.
+RETIRED_BEFORE_S: Final = 1.5
+RETRY_S: Final = 0.3
 
 
 class Batch:
@@ -43,12 +49,44 @@
             node.present.get_catalog,
             node.metrics,
         )
+        self._is_retiring = anyio.Event()
+        self._retirement: present.Retirement | None = None
+        node.present.on_retirement(self._note_retirement)
         node.reports.subscribe(self._owner)
         node.relay.answer = serving.create_serving(self._owner).handle
 
+    def _note_retirement(self, order: present.Retirement) -> None:
+        if order.instance == self._node.member.name:
+            self._retirement = order
+            self._is_retiring.set()
+
+    async def _retire(self) -> None:
+        """Empty this instance when its operators ask for it.
+
+        Its disk holds nothing, so only jobs have to change hands.
+        """
+        await self._is_retiring.wait()
+        assert self._retirement is not None
+        logs.say("retiring", in_hand=self._owner.count_running())
+        await self._tell_retired(False)
+        await self._owner.drain(self._retirement.deadline - RETIRED_BEFORE_S)
+        await self._owner.give_back()
+        await self._tell_retired(True)
+        logs.say("retired")
+
+    async def _tell_retired(self, is_complete: bool) -> None:
+        key, value = self._node.outside.documents.write_retired(
+            self._node.member.name, is_complete
+        )
+        told = base.Transaction((), (base.Write(key, value),))
+        store = self._node.outside.store
+        while isinstance(await store.commit(told), result.Failure):
+            await anyio.sleep(RETRY_S)
+
     async def run(self, stop: anyio.Event) -> None:
         """Run jobs until `stop`, then finish what runs."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._retire)
             tasks.start_soon(self._node.run)
             tasks.start_soon(self._open.run)
             tasks.start_soon(self._owner.run)
@@ -57,6 +95,7 @@
             grace_s = self._node.settings.grace_s
             await self._owner.drain(deadlines.after(grace_s - LAST_S))
             with anyio.move_on_after(LAST_S / 2.0):
+                await self._owner.give_back()
                 await self._node.registration.leave()
             logs.say("left", cut=self._owner.count_running())
             tasks.cancel_scope.cancel()
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -531,9 +531,27 @@
         self.is_draining = True
         while not deadlines.is_past(until):
             if not self._runs and not self.count_uncommitted():
-                return
+                break
             await anyio.sleep(STEP_S)
-        logs.say("drain cut", running=len(self._runs))
+        if self._runs:
+            logs.say("drain cut", running=len(self._runs))
+        for run in self._runs:
+            run.scope.cancel()
+
+    async def give_back(self) -> None:
+        """Let go of all claims, so that others take the jobs on at once."""
+        for name, owned in list(self._owned_by_id.items()):
+            self._owned_by_id.pop(name, None)
+            owned.is_ended = True
+            if not owned.is_claimed():
+                continue
+            release = owned.make_release()
+            answer = await self._store.commit(release)
+            if isinstance(answer, result.Failure):
+                # The claim ends with the lease.
+                logs.say(
+                    "claim kept", job=name, reason=answer.failure().message
+                )
 
 
 def _split_key(key: str) -> tuple[str, str]:
--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -117,6 +117,13 @@
                 return True
         return False
 
+    def make_release(self) -> base.Transaction:
+        """Return the transaction that gives the claim back."""
+        key = f"{records.CLAIMS}{records.quote(self.id)}"
+        return base.Transaction(
+            (base.Expect(key, self._claim_revision),), (base.Delete(key),)
+        )
+
     def forget_claim(self) -> None:
         """Note that the claim has lapsed with its lease."""
         self._claim_revision = 0
--- a/eelgrassgate/gateway/present.py
+++ b/eelgrassgate/gateway/present.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import anyio
+import msgspec
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
@@ -22,12 +23,35 @@
 TICK_S: Final = 0.2
 
 
+class Retirement(msgspec.Struct, frozen=True):
+    """An order to empty an instance.
+
+    Attributes:
+        instance: Which one.
+        deadline: Instant until which it is wanted.
+    """
+
+    instance: str
+    deadline: float
+
+
 class Documents(Protocol):
     """Where the configuration and the endpoints lie, and how they read."""
 
+    orders_prefix: str
     config_key: str
     endpoints_prefix: str
 
+    def decode_retirement(self, key: str, value: bytes) -> Retirement | None:
+        """Decode an order to empty an instance; None if it is none."""
+        ...
+
+    def write_retired(
+        self, instance: str, is_complete: bool
+    ) -> tuple[str, bytes]:
+        """Return the key and value that tell how far an instance is."""
+        ...
+
     def decode_config(self, value: bytes) -> catalog.Catalog | None:
         """Decode the configuration; None if it can't be read."""
         ...
@@ -51,7 +75,7 @@
         """Create without a configuration; see `create_present`."""
         self._documents = documents
         self._config = mirror.create_mirror(
-            store, documents.config_key, gap_s=CONFIG_GAP_S
+            store, documents.orders_prefix, gap_s=CONFIG_GAP_S
         )
         self._endpoints = mirror.create_mirror(
             store, documents.endpoints_prefix, gap_s=ENDPOINTS_GAP_S
@@ -63,6 +87,7 @@
         self._on_endpoints: list[
             Callable[[dict[str, catalog.Endpoint]], None]
         ] = []
+        self._on_retirement: list[Callable[[Retirement], None]] = []
         self.catalog = catalog.EMPTY
         self.endpoints_by_id: dict[str, catalog.Endpoint] = {}
 
@@ -76,6 +101,10 @@
         """Call `listen` with all endpoints when any has changed."""
         self._on_endpoints.append(listen)
 
+    def on_retirement(self, listen: Callable[[Retirement], None]) -> None:
+        """Call `listen` with each order to empty an instance."""
+        self._on_retirement.append(listen)
+
     def get_catalog(self) -> catalog.Catalog:
         """Return the configuration in force."""
         return self.catalog
@@ -95,7 +124,10 @@
 
     def _take_config(self, changes: tuple[base.Change, ...]) -> None:
         for change in changes:
-            if change.key != self._documents.config_key or not change.value:
+            if not change.value:
+                continue
+            if change.key != self._documents.config_key:
+                self._take_order(change.key, change.value)
                 continue
             decoded = self._documents.decode_config(change.value)
             if decoded is None or decoded.version <= self.catalog.version:
@@ -109,6 +141,12 @@
             for listen in self._on_catalog:
                 listen(decoded)
 
+    def _take_order(self, key: str, value: bytes) -> None:
+        retirement = self._documents.decode_retirement(key, value)
+        if retirement is not None:
+            for listen in self._on_retirement:
+                listen(retirement)
+
     def _take_endpoints(self, changes: tuple[base.Change, ...]) -> None:
         prefix = self._documents.endpoints_prefix
         is_changed = False
--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -5,13 +5,18 @@
 
 import msgspec
 
+from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import present
 from eelgrassgate.http1 import downstream
 
+# What the operators write.
+ORDERS: Final = "op/"
 CONFIG_KEY: Final = "op/config"
 ENDPOINTS: Final = "servers/"
 RETIREMENTS: Final = "op/retire/"
+RETIREMENT_STATES: Final = "status/retire/"
 
 MS_PER_S: Final = 1000.0
 
@@ -175,3 +180,30 @@
         entry.state == "draining",
         entry.born,
     )
+
+
+class _Retirement(msgspec.Struct, frozen=True, rename="kebab"):
+    """An order to empty an instance within `duration_s`."""
+
+    duration_s: float
+
+
+def decode_retirement(key: str, value: bytes) -> present.Retirement | None:
+    """Decode an order to empty an instance; None if it is none."""
+    if not key.startswith(RETIREMENTS):
+        return None
+    try:
+        order = msgspec.json.decode(value, type=_Retirement)
+    except msgspec.MsgspecError as error:
+        logs.say("retirement:unreadable", key=key, reason=str(error))
+        return None
+    return present.Retirement(
+        key.removeprefix(RETIREMENTS), deadlines.after(order.duration_s)
+    )
+
+
+def write_retired(instance: str, is_complete: bool) -> tuple[str, bytes]:
+    """Return the key and value that tell how far an instance is."""
+    state = "completed" if is_complete else "running"
+    value = msgspec.json.encode({"state": state})
+    return f"{RETIREMENT_STATES}{instance}", value
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -442,6 +442,21 @@
             self.assertEqual(world.owner.count_running(), 0)
             self.assertEqual(len(await world.read_all()), 3)
 
+    async def test_a_retired_process_gives_its_jobs_back(self) -> None:
+        async with open_world() as world:
+            for one in world.endpoints:
+                one.script = endpoint.Script(events=1000, gap_s=0.02)
+            await submit(world.store, 3)
+            await world.wait(lambda: world.owner.count_running() == 3)
+            await world.owner.drain(deadlines.after(0.3))
+            await world.owner.give_back()
+            claim = await world.store.read(f"{records.CLAIMS}{JOB}")
+            self.assertIsNone(claim.unwrap())
+            await world.wait(lambda: not world.owner.count_running())
+            # The job is open, so that another process takes it on.
+            still = await world.store.read(f"{records.OPEN_JOBS}{JOB}")
+            self.assertIsNotNone(still.unwrap())
+
 
 class SchedulingTest(unittest.TestCase):
     def test_those_that_can_be_in_time_go_first(self) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -245,10 +245,13 @@
 
 
 class Documents:
+    orders_prefix = documents.ORDERS
     config_key = documents.CONFIG_KEY
     endpoints_prefix = documents.ENDPOINTS
     decode_config = staticmethod(documents.decode_config)
     decode_endpoint = staticmethod(documents.decode_endpoint)
+    decode_retirement = staticmethod(documents.decode_retirement)
+    write_retired = staticmethod(documents.write_retired)
 
 
 async def put(store: base.Store, key: str, document: Any) -> None:
