--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -8,6 +8,8 @@
 import anyio
 import msgspec
 
+from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import metrics as metrics_lib
@@ -26,6 +28,10 @@
 # lost opening packet is sent again after a second.
 CONNECT_TIMEOUT_S = 0.5
 SWEEP_S = 1.0
+# A timer that fires this late means that the process lacks processor time, or
+# that its instance stood still.
+LATE_S = 0.1
+MS_PER_S = 1000.0
 # Members that come or go are seen by the others within half a second.
 MEMBERS_GAP_S = 0.3
 
@@ -109,7 +115,12 @@
             tasks.start_soon(self.metrics.run, self.settings.metrics_address)
             tasks.start_soon(self.relay.run, self.settings.relay_address)
             while True:
+                due = deadlines.after(SWEEP_S)
                 await anyio.sleep(SWEEP_S)
+                late_s = deadlines.now() - due
+                if late_s > LATE_S:
+                    # Explains answers that were late with no other cause.
+                    logs.say("loop late", late_ms=round(late_s * MS_PER_S))
                 await self.pool.sweep()
 
 
