Let all processes agree whose items give way, and start items in turn

Each process now stops its part by an order that all know, and starts an item at one endpoint of others' only after reports have gone round.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -112,7 +112,7 @@
         self._runs: list[_Run] = []
         self._paused_until_by_item: dict[str, float] = {}
         self._run_times = scheduling.RunTimes()
-        self._excess_since_by_endpoint: dict[str, float] = {}
+        self._next_start_by_endpoint: dict[str, float] = {}
         self._lease = 0
         self.is_draining = False
         watched.subscribe(self._take)
@@ -343,13 +343,11 @@
     def _start_items(self, tasks: abc.TaskGroup) -> None:
         """Start waiting items where there is room, those due first."""
         waiting = self._rank_waiting()
-        starts_by_endpoint: dict[str, int] = {}
+        now = deadlines.now()
 
         def may_use(endpoint: catalog.Endpoint) -> bool:
-            if endpoint.zone == self._member.zone:
-                return True
-            started = starts_by_endpoint.get(endpoint.id, 0)
-            return started < scheduling.AWAY_STARTS
+            next_at = self._next_start_by_endpoint.get(endpoint.id, 0.0)
+            return now >= next_at
 
         full: set[str] = set()
         for owned, progress in waiting:
@@ -367,10 +365,24 @@
             if endpoint is None:
                 full.add(route.targets[0].service)
                 continue
-            starts = starts_by_endpoint.get(endpoint.id, 0)
-            starts_by_endpoint[endpoint.id] = starts + 1
+            self._next_start_by_endpoint[endpoint.id] = now + (
+                scheduling.NEAR_START_EVERY_S
+                if self._is_home(endpoint)
+                else scheduling.AWAY_START_EVERY_S
+            )
             self._start(tasks, owned, progress, endpoint, route)
 
+    def _is_home(self, endpoint: catalog.Endpoint) -> bool:
+        """Tell whether an endpoint's items are foremost this process's."""
+        members = self._directory.members_by_name
+        near = [
+            name
+            for name in self._directory.get_names(registry.Role.BATCH)
+            if members[name].zone == endpoint.zone
+        ]
+        order = scheduling.choose_owner(endpoint.id, near, weigh)
+        return bool(order) and order[0] == self._member.name
+
     def _rank_waiting(
         self,
     ) -> list[tuple[ownership.OwnedJob, items.Progress]]:
@@ -523,7 +535,6 @@
 
     def _give_way(self) -> None:
         """Stop items where online requests fill the slots."""
-        now = deadlines.now()
         by_endpoint: dict[str, list[_Run]] = {}
         for run in self._runs:
             by_endpoint.setdefault(run.endpoint.id, []).append(run)
@@ -531,13 +542,8 @@
             endpoint = runs[0].endpoint
             excess = scheduling.count_excess(self._loads, endpoint)
             if not excess:
-                self._excess_since_by_endpoint.pop(endpoint.id, None)
-                continue
-            since = self._excess_since_by_endpoint.setdefault(endpoint.id, now)
-            is_near = endpoint.zone == self._member.zone
-            if not is_near and now < since + scheduling.AWAY_PATIENCE_S:
-                # The process near by stops its items first.
                 continue
+            excess = self._count_own_part(endpoint.id, excess, len(runs))
             stopping = sum(run.gives_way for run in runs)
             # The item that has run for the shortest time loses least.
             runs.sort(key=lambda run: run.began, reverse=True)
@@ -549,6 +555,20 @@
                     run.scope.cancel()
                     stopping += 1
 
+    def _count_own_part(self, endpoint: str, excess: int, own: int) -> int:
+        """Return how many of the items that give way are to be stopped here."""
+
+        def rank(name: str) -> int:
+            return weigh(name, endpoint)
+
+        return scheduling.count_own_part(
+            excess,
+            own,
+            self._loads.get_batch_by_peer(endpoint),
+            rank(self._member.name),
+            rank,
+        )
+
     async def drain(self, until: float) -> None:
         """Start nothing more; wait for what runs until `until`, then stop."""
         self.is_draining = True
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -26,12 +27,10 @@
 # Online requests in hand at one endpoint from which on it is in a crest, as a
 # part of its slots.
 CREST_PART: Final = 0.5
-# Items that one process starts at one endpoint of another zone for each round
-# of reports; the processes there don't know of them yet.
-AWAY_STARTS: Final = 1
-# How long items at an endpoint of another zone wait for those of the process
-# there to give way; a few reports travel meanwhile.
-AWAY_PATIENCE_S: Final = 0.08
+# One process starts an item at one endpoint once in so long, in which all have
+# heard of the last one; else several fill the same slot and stop again.
+NEAR_START_EVERY_S: Final = 0.05
+AWAY_START_EVERY_S: Final = 0.35
 # How many slots emptier an endpoint must be for its distance, so that another
 # zone is worth two slots.
 SLOTS_PER_S: Final = 130.0
@@ -115,6 +114,31 @@
     return min(batch, max(0, table.get(endpoint.id) - endpoint.slots))
 
 
+def count_own_part(
+    excess: int,
+    own: int,
+    batch_by_peer: Mapping[str, int],
+    rank_own: int,
+    rank: Callable[[str], int],
+) -> int:
+    """Return how many of the items that give way are this process's.
+
+    All processes with items at an endpoint come to the same parts, so that
+    not each of them stops an item for the same online request.
+
+    Args:
+        excess: How many give way in all.
+        own: How many items this process has there.
+        batch_by_peer: How many each other process has.
+        rank_own: This process's rank; the lowest gives way first.
+        rank: Returns the rank of another.
+    """
+    before = sum(
+        count for name, count in batch_by_peer.items() if rank(name) < rank_own
+    )
+    return max(0, min(own, excess - before))
+
+
 def choose_owner(
     job: str, members: Iterable[str], weigh: Callable[[str, str], int]
 ) -> list[str]:
--- a/eelgrassgate/peering/loads.py
+++ b/eelgrassgate/peering/loads.py
@@ -59,6 +59,14 @@
         _add(self._total[kind], endpoint, amount)
         self.version += 1
 
+    def get_batch_by_peer(self, endpoint: str) -> dict[str, int]:
+        """Return how many items each other process has at an endpoint."""
+        return {
+            name: told[outcomes.Class.BATCH][endpoint]
+            for name, told in self._peers_by_name.items()
+            if told[outcomes.Class.BATCH].get(endpoint)
+        }
+
     def press(self) -> None:
         """Have the others told at once, so that batch items give way."""
         self.pressed.set()
--- a/eelgrassgate/platform/__main__.py
+++ b/eelgrassgate/platform/__main__.py
@@ -22,23 +22,11 @@
 FINDINGS_CODE = 2
 
 
-class _Documents:
-    """An implementation of `present.Documents`."""
-
-    orders_prefix = documents.ORDERS
-    config_key = documents.CONFIG_KEY
-    endpoints_prefix = documents.ENDPOINTS
-    decode_config = staticmethod(documents.decode_config)
-    decode_endpoint = staticmethod(documents.decode_endpoint)
-    decode_retirement = staticmethod(documents.decode_retirement)
-    write_retired = staticmethod(documents.write_retired)
-
-
 def create_outside(own: settings.Node) -> node.Outside:
     """Create the adapters of the platform."""
     return node.Outside(
         kv.create_kv_store(own.store_address),
-        _Documents(),
+        documents.PlatformDocuments(),
         dialect.PlatformDialect(),
         batch_calls.PlatformBatchDialect(),
     )
--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -207,3 +207,15 @@
     state = "completed" if is_complete else "running"
     value = msgspec.json.encode({"state": state})
     return f"{RETIREMENT_STATES}{instance}", value
+
+
+class PlatformDocuments:
+    """An implementation of `present.Documents`."""
+
+    orders_prefix = ORDERS
+    config_key = CONFIG_KEY
+    endpoints_prefix = ENDPOINTS
+    decode_config = staticmethod(decode_config)
+    decode_endpoint = staticmethod(decode_endpoint)
+    decode_retirement = staticmethod(decode_retirement)
+    write_retired = staticmethod(write_retired)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -251,6 +251,28 @@
         self.assertTrue(all(fleet.ask(0) for _ in range(1000)))
 
 
+class PartTest(unittest.TestCase):
+    def test_processes_stop_as_many_items_as_give_way(self) -> None:
+        for excess, counts in (
+            (0, {"a": 2, "b": 1}),
+            (1, {"a": 1, "b": 1, "c": 1}),
+            (3, {"a": 2, "b": 2, "c": 0}),
+            (5, {"a": 2, "b": 2, "c": 1}),
+            (9, {"a": 1, "b": 1}),
+        ):
+            parts = [
+                scheduling.count_own_part(
+                    excess,
+                    count,
+                    {one: n for one, n in counts.items() if one != name},
+                    ord(name),
+                    ord,
+                )
+                for name, count in counts.items()
+            ]
+            self.assertEqual(sum(parts), min(excess, sum(counts.values())))
+
+
 class CrestTest(unittest.TestCase):
     """The load that items answer: waves of online requests."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -244,16 +244,6 @@
             self.assertIsNone(read(body))
 
 
-class Documents:
-    orders_prefix = documents.ORDERS
-    config_key = documents.CONFIG_KEY
-    endpoints_prefix = documents.ENDPOINTS
-    decode_config = staticmethod(documents.decode_config)
-    decode_endpoint = staticmethod(documents.decode_endpoint)
-    decode_retirement = staticmethod(documents.decode_retirement)
-    write_retired = staticmethod(documents.write_retired)
-
-
 async def put(store: base.Store, key: str, document: Any) -> None:
     change: base.Write | base.Delete = base.Delete(key)
     if document is not None:
@@ -266,7 +256,9 @@
         self.store = faulty.create_faulty_store(
             memory.create_memory_store(progress_s=0.02)
         )
-        self.present = present_lib.create_present(self.store, Documents())
+        self.present = present_lib.create_present(
+            self.store, documents.PlatformDocuments()
+        )
 
     async def wait(self, is_so: Any) -> None:
         with anyio.fail_after(PATIENCE_S):
