Share among all processes how often endpoints fail

Cause: an endpoint that answers 500 or 503 at once is idle whenever the next request comes, so it drew more requests than any other, and each 500 counted as a success that ended its rest. One process sees an endpoint every few seconds only, too seldom to learn from.

Ruled out: resting after one failure, since an item that can never be done gives 500 at good endpoints, too.

Processes now tell each other failures and runs of endpoints that anybody suspects; the part that fails is a cost beside waiting and distance. Items go to no endpoint that failed them while another lives.

Tests failed before: a failing endpoint draws little, one failing endpoint ends no item.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -41,6 +41,7 @@
         last_event: Id of the last one, empty before the first.
         failures: How many runs ended in the endpoint's own failure.
         ran_s: Seconds for which it has run so far.
+        failed_at: Endpoints that have failed it.
     """
 
     item: calls.BatchItem
@@ -48,6 +49,7 @@
     last_event: str = ""
     failures: int = 0
     ran_s: float = 0.0
+    failed_at: set[str] = set()
 
 
 async def run(
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -159,9 +159,7 @@
             return
         del self._owned_by_id[job]
         owned.is_ended = True
-        for run in self._runs:
-            if run.owned is owned:
-                run.scope.cancel()
+        self._cancel_runs(owned)
         logs.say("job ended by its caller", job=job)
 
     def count_running(self) -> int:
@@ -361,9 +359,11 @@
                 self._loads,
                 route.targets[0].service,
                 may_use=may_use,
+                avoid=progress.failed_at,
             )
             if endpoint is None:
-                full.add(route.targets[0].service)
+                if not progress.failed_at:
+                    full.add(route.targets[0].service)
                 continue
             self._next_start_by_endpoint[endpoint.id] = now + (
                 scheduling.NEAR_START_EVERY_S
@@ -517,9 +517,15 @@
             return
         if outcome is items.Outcome.FAILED:
             progress.failures += 1
+            progress.failed_at.add(run.endpoint.id)
+            if progress.failures == 1:
+                # Later ones rather tell of the item than of endpoints.
+                self._placement.note_refusal(run.endpoint)
             if progress.failures >= route.max_attempts:
                 run.owned.end(progress, records.DEAD_LETTER, reason)
                 return
+        if outcome is items.Outcome.NOT_RUN:
+            self._placement.note_refusal(run.endpoint)
         if not is_cancelled:
             self._paused_until_by_item[progress.item.id] = deadlines.after(
                 RETRY_S
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Final
@@ -91,11 +92,29 @@
     service: str,
     *,
     may_use: Callable[[catalog.Endpoint], bool] = lambda endpoint: True,
+    avoid: Collection[str] = (),
 ) -> catalog.Endpoint | None:
-    """Return an endpoint with a slot to spare: empty and near."""
+    """Return an endpoint with a slot to spare: empty and near.
+
+    Endpoints that fail many runs are passed over while any other lives, even
+    one without room: an item can wait, but ends after a few failures.
+
+    Args:
+        placement: Knows the endpoints.
+        table: What they have in hand.
+        service: Whose endpoints.
+        may_use: Tells whether an item may start at an endpoint now.
+        avoid: Endpoints that have failed the item.
+    """
     best: catalog.Endpoint | None = None
     best_cost = 0.0
-    for endpoint in placement.get_endpoints(service):
+    endpoints = placement.get_endpoints(service)
+    sound = [
+        one
+        for one in endpoints
+        if one.id not in avoid and not placement.is_failing(one.id)
+    ]
+    for endpoint in sound or endpoints:
         if placement.is_resting(endpoint.id):
             continue
         used = table.get(endpoint.id)
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -40,7 +40,6 @@
 # attempts; this many bound them.
 MOST_FREE_TRIES: Final = 4
 
-TOO_MANY: Final = 429
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
 GATEWAY_TIMEOUT: Final = 504
@@ -174,6 +173,7 @@
         began = deadlines.now()
         reason = ""
         result = Result.LOST
+        status = 0
         kind = outcomes.Class.ONLINE
         silence_s = _get_silence(route, progress, attempt.deadline)
         try:
@@ -194,6 +194,7 @@
                         progress,
                         silence_s,
                     )
+                    status = connection.head.status
         except upstream.ExchangeError as error:
             reason = str(error)
             result = Result.LOST if error.was_sent else Result.NOT_SENT
@@ -202,14 +203,19 @@
             reason = "silent"
             self._placement.note_failure(endpoint)
         took_s = deadlines.now() - began
-        if result is Result.DONE:
+        if result is Result.DONE and status not in ERROR_CLASS:
             self._placement.note_success(endpoint, took_s)
+        elif status:
+            # It answers, but with failures or refusals; being idle, it would
+            # draw more requests than any other.
+            self._placement.note_refusal(endpoint)
         logs.say(
             "attempt",
             id=call.id,
             endpoint=endpoint.id,
             in_hand=self._loads.get(endpoint.id),
             result=result.value,
+            status=status,
             reason=reason,
             took_ms=round(took_s * 1000),
         )
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -17,6 +17,7 @@
 from eelgrassgate.gateway import present as present_lib
 from eelgrassgate.gateway import settings
 from eelgrassgate.http1 import upstream
+from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import relay
@@ -91,20 +92,29 @@
         )
         self.metrics = metrics_lib.create_metrics()
         self.loads = loads.create_loads()
+        self.failures = failures.create_failures(self._is_near)
         self.reports = reports_lib.create_reports(
-            self.member, self.directory, self.loads, outside.store.has_answered
+            self.member,
+            self.directory,
+            self.loads,
+            self.failures,
+            outside.store.has_answered,
         )
         outside.store.set_relays(self.reports.get_relays)
         self.relay = relay.create_relay(own.store_address)
         self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self.placement = placement_lib.create_placement(
-            self.loads, own.zone, own.region_by_zone
+            self.loads, self.failures, own.zone, own.region_by_zone
         )
         self.present = present_lib.create_present(
             outside.store, outside.documents
         )
         self.present.on_endpoints(self.placement.set_endpoints)
 
+    def _is_near(self, name: str) -> bool:
+        member = self.directory.members_by_name.get(name)
+        return member is not None and member.zone == self.member.zone
+
     async def run(self) -> None:
         """Run the shared parts until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -12,6 +12,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import catalog
+from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
 
 # Costs in seconds of waiting. Another zone costs paid bytes and about 3 ms,
@@ -22,6 +23,12 @@
 FULL_ENDPOINT_S: Final = 0.02
 # Reports are late, so equal endpoints are told apart by chance.
 JITTER_S: Final = 0.004
+# A request that fails is worth nothing, as is one that waits for so long; a few
+# failures in a hundred weigh as much as another zone.
+FAILURE_S: Final = 1.0
+# An endpoint that fails more of its runs gets no batch items, which can wait
+# for another.
+FAILING_PART: Final = 0.25
 # Seconds that a request holds a slot, before any has been seen.
 FIRST_HOLD_S: Final = 0.5
 HOLD_SMOOTHING: Final = 0.05
@@ -55,12 +62,14 @@
     def __init__(
         self,
         table: loads.Loads,
+        failures: failures_lib.Failures,
         zone: str,
         region_by_zone: Mapping[str, str],
         clock: Callable[[], float],
     ) -> None:
         """Create without endpoints; see `create_placement`."""
         self._loads = table
+        self._failures = failures
         self._zone = zone
         self._region_by_zone = region_by_zone
         self._clock = clock
@@ -80,6 +89,7 @@
         for name in list(self._rests_by_endpoint):
             if name not in endpoints:
                 del self._rests_by_endpoint[name]
+        self._failures.keep(endpoints)
 
     def get_endpoints(self, service: str) -> list[catalog.Endpoint]:
         """Return the endpoints of a service that take new work."""
@@ -137,11 +147,16 @@
         used = self._loads.get(endpoint.id) / endpoint.slots
         cost = self.estimate_wait(endpoint) + used * FULL_ENDPOINT_S
         cost += self.estimate_distance(endpoint.zone)
+        cost += self._failures.get_part(endpoint.id) * FAILURE_S
         cost += random.random() * JITTER_S
         if self.is_resting(endpoint.id):
             cost += LAST_REST_S
         return cost
 
+    def is_failing(self, endpoint: str) -> bool:
+        """Tell whether an endpoint fails too many of its runs."""
+        return self._failures.get_part(endpoint) > FAILING_PART
+
     def estimate_distance(self, zone: str) -> float:
         """Return what sending work to `zone` costs, in seconds."""
         if zone == self._zone:
@@ -172,6 +187,7 @@
             endpoint: The endpoint.
             held_s: How long an online request held its slot, in seconds.
         """
+        self._failures.note(endpoint.id, has_failed=False)
         self._rests_by_endpoint.pop(endpoint.id, None)
         if held_s is None:
             return
@@ -180,8 +196,17 @@
             held_s - known
         )
 
+    def note_refusal(self, endpoint: catalog.Endpoint) -> None:
+        """Note that an endpoint failed or refused a run, and says so at once.
+
+        It is chosen less often, but not left alone: the fault may lie with
+        the request.
+        """
+        self._failures.note(endpoint.id, has_failed=True)
+
     def note_failure(self, endpoint: catalog.Endpoint) -> None:
         """Note that an endpoint could not be reached or fell silent."""
+        self._failures.note(endpoint.id, has_failed=True)
         now = self._clock()
         rest = self._rests_by_endpoint.get(endpoint.id)
         if rest is None:
@@ -194,6 +219,7 @@
 
 def create_placement(
     table: loads.Loads,
+    failures: failures_lib.Failures,
     zone: str,
     region_by_zone: Mapping[str, str],
     clock: Callable[[], float] = deadlines.now,
@@ -202,8 +228,9 @@
 
     Args:
         table: What endpoints have in hand.
+        failures: How often endpoints fail.
         zone: Where this process runs.
         region_by_zone: The region of each zone.
         clock: Returns seconds on a monotonic clock.
     """
-    return Placement(table, zone, region_by_zone, clock)
+    return Placement(table, failures, zone, region_by_zone, clock)
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -13,6 +13,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 
@@ -52,6 +53,8 @@
         has_store: Whether it reaches the store by itself.
         unheard: Processes that it knows and does not hear; who hears them
             passes their reports on.
+        failures_by_endpoint: Failures and runs, both faded, of endpoints
+            that somebody suspects.
     """
 
     name: str
@@ -63,6 +66,7 @@
     spent_by_workspace: dict[str, float]
     has_store: bool = True
     unheard: tuple[str, ...] = ()
+    failures_by_endpoint: dict[str, tuple[float, float]] = {}
 
 
 class Peer(msgspec.Struct):
@@ -92,6 +96,7 @@
         member: registry.Member,
         directory: registry.Directory,
         table: loads.Loads,
+        failures: failures_lib.Failures,
         read_has_store: Callable[[], bool],
     ) -> None:
         """Create without peers; see `create_reports`."""
@@ -99,6 +104,7 @@
         self._member = member
         self._directory = directory
         self._loads = table
+        self._failures = failures
         self._started = deadlines.now()
         self._number = 0
         self._peers_by_name: dict[str, Peer] = {}
@@ -173,6 +179,7 @@
         self._loads.set_peer(
             report.name, report.online_by_endpoint, report.batch_by_endpoint
         )
+        self._failures.set_peer(report.name, report.failures_by_endpoint)
         for listener in self._heard:
             listener.take(report)
 
@@ -196,6 +203,7 @@
             if not self.is_heard(name):
                 del self._peers_by_name[name]
                 self._loads.set_peer(name, {}, {})
+                self._failures.set_peer(name, {})
                 logs.say("peer:silent", peer=name)
 
     async def _send_forever(self, socket: abc.UDPSocket) -> None:
@@ -327,6 +335,7 @@
                 if name != self._member.name
                 and not self.is_heard_directly(name)
             ),
+            self._failures.list_suspects(),
         )
         return _ENCODER.encode(report)
 
@@ -347,6 +356,7 @@
     member: registry.Member,
     directory: registry.Directory,
     table: loads.Loads,
+    failures: failures_lib.Failures,
     read_has_store: Callable[[], bool],
 ) -> Reports:
     """Create the reports of this process.
@@ -355,6 +365,7 @@
         member: This process.
         directory: Where reports are sent.
         table: What is in hand, here and elsewhere.
+        failures: How often endpoints fail, here and elsewhere.
         read_has_store: Tells whether the store is reached from here.
     """
-    return Reports(member, directory, table, read_has_store)
+    return Reports(member, directory, table, failures, read_has_store)
--- a/tests/site.py
+++ b/tests/site.py
@@ -17,6 +17,7 @@
 from eelgrassgate.gateway import service as service_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
+from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import dialect
@@ -165,7 +166,10 @@
         self.catalog = make_catalog()
         self.loads = loads.create_loads()
         self.placement = placement_lib.create_placement(
-            self.loads, "z1", {"z1": "r1", "z2": "r1", "z3": "r2"}
+            self.loads,
+            failures.create_failures(),
+            "z1",
+            {"z1": "r1", "z2": "r1", "z3": "r2"},
         )
         self.pool = upstream.create_pool(0.5)
         self.spent: list[str] = []
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -21,6 +21,7 @@
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import upstream
+from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 from eelgrassgate.platform import dialect
@@ -277,7 +278,7 @@
         self.endpoints = [endpoint.create_endpoint(name) for name in "ef"]
         self.loads = loads.create_loads()
         self.placement = placement_lib.create_placement(
-            self.loads, "z1", {"z1": "r1"}
+            self.loads, failures.create_failures(), "z1", {"z1": "r1"}
         )
         self.pool = upstream.create_pool(0.5)
         self.watched = mirror.create_mirror(
@@ -397,6 +398,14 @@
             runs = sum(len(one.runs) for one in world.endpoints)
             self.assertEqual(runs, ROUTE.max_attempts)
 
+    async def test_one_failing_endpoint_ends_no_item(self) -> None:
+        async with open_world() as world:
+            world.endpoints[0].script = endpoint.Script(status=500)
+            await submit(world.store, 6)
+            found = await world.read_all()
+            states = {one.state for one in found.values()}
+            self.assertEqual(states, {records.COMPLETED})
+
     async def test_an_item_gives_way_and_goes_on(self) -> None:
         async with open_world(slots=4) as world:
             for one in world.endpoints:
@@ -522,7 +531,10 @@
                 table = loads.create_loads()
                 table.set_peer("p", used, {})
                 placement = placement_lib.create_placement(
-                    table, "z1", {"z1": "r1", "z2": "r1", "z3": "r2"}
+                    table,
+                    failures.create_failures(),
+                    "z1",
+                    {"z1": "r1", "z2": "r1", "z3": "r2"},
                 )
                 placement.set_endpoints(
                     {one.id: one for one in (near, far, region)}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -9,6 +9,7 @@
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import rates as rates_lib
+from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import reports
 from tests import site as site_lib
@@ -32,7 +33,8 @@
 def make_placement(
     table: loads.Loads, clock: Clock, *endpoints: catalog.Endpoint
 ) -> placement_lib.Placement:
-    placement = placement_lib.create_placement(table, "z1", ZONES, clock)
+    seen = failures.create_failures(clock=clock)
+    placement = placement_lib.create_placement(table, seen, "z1", ZONES, clock)
     placement.set_endpoints({one.id: one for one in endpoints})
     return placement
 
@@ -108,6 +110,36 @@
             self.assertEqual(choice.endpoint.id, "b")
         self.assertFalse(placement.is_resting("a"))
 
+    def test_a_failing_endpoint_draws_little(self) -> None:
+        """It answers at once, so it is idle whenever a request comes."""
+        for name, fails_every, most in (
+            ("all of its runs", 1, 8),
+            ("every third run", 3, 30),
+            ("one run in fifty, as all do", 50, 130),
+        ):
+            with self.subTest(name):
+                clock = Clock()
+                table = loads.create_loads()
+                endpoints = [make_endpoint(one) for one in "abc"]
+                placement = make_placement(table, clock, *endpoints)
+                # The others are half full all the time.
+                table.set_peer("p", {"b": 4, "c": 4}, {})
+                asked = 0
+                for _ in range(200):
+                    clock.now += 0.05
+                    choice = placement.choose("engine")
+                    assert choice is not None
+                    if choice.endpoint.id != "a":
+                        placement.note_success(choice.endpoint, 0.5)
+                        continue
+                    asked += 1
+                    if asked % fails_every:
+                        placement.note_success(choice.endpoint, 0.5)
+                    else:
+                        placement.note_refusal(choice.endpoint)
+                self.assertLessEqual(asked, most)
+                self.assertGreater(asked, 0)
+
     def test_draining_endpoints_get_nothing(self) -> None:
         clock = Clock()
         leaving = catalog.Endpoint(
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -10,6 +10,7 @@
 import anyio
 
 from eelgrassgate import outcomes
+from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import relay
@@ -58,7 +59,10 @@
     directory: Any = Directory(*members)
     table = loads.create_loads()
     own = directory.members_by_name[name]
-    return reports.create_reports(own, directory, table, lambda: True), table
+    made = reports.create_reports(
+        own, directory, table, failures.create_failures(), lambda: True
+    )
+    return made, table
 
 
 def make_report(name: str, number: int = 1, **fields: Any) -> reports.Report:
@@ -89,6 +93,54 @@
         self.assertEqual((table.get("e"), table.get("f")), (0, 0))
 
 
+class FailuresTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.seen = failures.create_failures(
+            lambda peer: peer == "near", lambda: self.now
+        )
+
+    def test_what_counts(self) -> None:
+        for name, own, near, far, wanted in (
+            ("nothing seen", None, None, None, 0.0),
+            ("one failure", (1, 1), None, None, 1 / 4),
+            ("failures told by others", (0, 1), (2, 3), (1, 3), 3 / 10),
+            ("it fails callers of this zone", (2, 2), None, (0, 40), 2 / 5),
+            ("it fails callers elsewhere", (0, 40), None, (5, 5), 5 / 48),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                for peer, told in (("near", near), ("far", far)):
+                    self.seen.set_peer(peer, {"e": told} if told else {})
+                for number in range(own[1] if own else 0):
+                    has_failed = bool(own and number < own[0])
+                    self.seen.note("e", has_failed=has_failed)
+                self.now += 0.2
+                self.assertAlmostEqual(
+                    self.seen.get_part("e"), wanted, delta=0.02
+                )
+
+    def test_failures_fade_and_are_told_only_while_suspected(self) -> None:
+        self.seen.note("sound", has_failed=False)
+        self.seen.note("e", has_failed=True)
+        self.assertEqual(self.seen.list_suspects(), {"e": (1.0, 1.0)})
+        self.now += failures.HALF_LIFE_S
+        self.assertEqual(self.seen.list_suspects(), {"e": (0.5, 0.5)})
+        self.now += 3 * failures.HALF_LIFE_S
+        self.assertEqual(self.seen.list_suspects(), {})
+        # Others need the runs of those who saw no failure, too.
+        self.seen.set_peer("near", {"sound": (1.0, 1.0)})
+        self.assertIn("sound", self.seen.list_suspects())
+        self.seen.set_peer("near", {})
+        self.assertEqual(self.seen.list_suspects(), {})
+
+    def test_endpoints_that_are_gone_are_forgotten(self) -> None:
+        self.seen.note("e", has_failed=True)
+        self.seen.keep({})
+        self.now += 0.2
+        self.assertEqual(self.seen.get_part("e"), 0.0)
+
+
 class ReportsTest(unittest.IsolatedAsyncioTestCase):
     def test_an_older_report_changes_nothing(self) -> None:
         own, table = make_reports("a", make_member("a"), make_member("b"))
