Keep watches and members through the store's troubles

Two causes, found by reading, each with a test that failed before: - A store that falls silent for one instance left its watches waiting for up to 13 s, since the call that a peer answered first did not say that the store was lost. A configuration is to be in force within 3 s. - Leases that end while the store is away took members from everybody's list though they live; who forgot them would have used their parts of all rates, and sent them no reports. Members that are heard now stay; one that leaves says so in its report.

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -95,6 +95,7 @@
             grace_s = self._node.settings.grace_s
             await self._owner.drain(deadlines.after(grace_s - LAST_S))
             with anyio.move_on_after(LAST_S / 2.0):
+                self._node.reports.is_leaving = True
                 await self._owner.give_back()
                 await self._node.registration.leave()
             logs.say("left", cut=self._owner.count_running())
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -114,6 +114,7 @@
         accepting.cancel()
         cut = await self._listener.drain(until)
         with anyio.move_on_after(LAST_S / 2.0):
+            self._node.reports.is_leaving = True
             await self._node.registration.leave()
         logs.say("left", cut=cut)
 
--- a/eelgrassgate/peering/registry.py
+++ b/eelgrassgate/peering/registry.py
@@ -1,5 +1,6 @@
 """Registers this process in the store under a lease, and finds the others."""
 
+from collections.abc import Callable
 import enum
 from typing import Final
 
@@ -119,18 +120,19 @@
 
 
 class Directory:
-    """The processes that the store knows."""
+    """The processes that the store knows, or knew and that are still heard."""
 
     def __init__(self, watched: mirror.Mirror) -> None:
         """Follow `watched`; see `create_directory`."""
         self.members_by_name: dict[str, Member] = {}
+        self._lapsed: set[str] = set()
         watched.subscribe(self._take)
 
     def _take(self, changes: tuple[base.Change, ...]) -> None:
         for change in changes:
             name = change.key.removeprefix(MEMBERS)
             if change.value is None:
-                self.members_by_name.pop(name, None)
+                self._lapsed.add(name)
                 continue
             try:
                 member = msgspec.json.decode(change.value, type=Member)
@@ -138,6 +140,19 @@
                 logs.say("member:unreadable", name=name, reason=str(error))
                 continue
             self.members_by_name[name] = member
+            self._lapsed.discard(name)
+
+    def drop_lapsed(self, is_heard: Callable[[str], bool]) -> None:
+        """Forget processes whose entry is gone and that are not heard.
+
+        Leases may end while the store is away though their holders live; who
+        forgot them then would take their parts of all rates.
+        """
+        for name in list(self._lapsed):
+            if not is_heard(name):
+                self._lapsed.discard(name)
+                if self.members_by_name.pop(name, None):
+                    logs.say("member:gone", name=name)
 
     def get_names(self, role: Role) -> frozenset[str]:
         """Return the names of the processes of one role."""
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -55,6 +55,7 @@
             passes their reports on.
         failures_by_endpoint: Failures and runs, both faded, of endpoints
             that somebody suspects.
+        is_leaving: Whether it ends, so that others take its place.
     """
 
     name: str
@@ -67,6 +68,7 @@
     has_store: bool = True
     unheard: tuple[str, ...] = ()
     failures_by_endpoint: dict[str, tuple[float, float]] = {}
+    is_leaving: bool = False
 
 
 class Peer(msgspec.Struct):
@@ -89,7 +91,11 @@
 
 
 class Reports:
-    """Sends this process's report and keeps those of the others."""
+    """Sends this process's report and keeps those of the others.
+
+    Attributes:
+        is_leaving: Whether this process tells the others that it ends.
+    """
 
     def __init__(
         self,
@@ -100,6 +106,7 @@
         read_has_store: Callable[[], bool],
     ) -> None:
         """Create without peers; see `create_reports`."""
+        self.is_leaving = False
         self._read_has_store = read_has_store
         self._member = member
         self._directory = directory
@@ -134,6 +141,13 @@
         until = self._direct_until_by_name.get(name)
         return until is not None and not deadlines.is_past(until)
 
+    def _is_staying(self, name: str) -> bool:
+        """Tell whether a process is heard and does not end."""
+        peer = self._peers_by_name.get(name)
+        if peer is None or peer.report.is_leaving:
+            return False
+        return self.is_heard(name)
+
     async def run(self) -> None:
         """Send and receive until cancelled."""
         host, _, port = self._member.address.rpartition(":")
@@ -215,6 +229,7 @@
                 await self._send_pressed(socket)
             await self._send_due(socket, last_by_every)
             self.forget_silent()
+            self._directory.drop_lapsed(self._is_staying)
             await anyio.sleep(LEAST_GAP_S)
             with anyio.move_on_after(TICK_S - LEAST_GAP_S):
                 await self._loads.pressed.wait()
@@ -336,6 +351,7 @@
                 and not self.is_heard_directly(name)
             ),
             self._failures.list_suspects(),
+            self.is_leaving,
         )
         return _ENCODER.encode(report)
 
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -427,6 +427,9 @@
                 has_failed.set()
                 return
             answers.append(answer)
+            if not directly:
+                # Calls that wait for a change would wait on in vain.
+                self._note_direct(False, "a relay answered first")
             tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -8,6 +8,7 @@
 import unittest
 
 import anyio
+import msgspec
 
 from eelgrassgate import outcomes
 from eelgrassgate.peering import failures
@@ -52,6 +53,9 @@
     def __init__(self, *members: registry.Member) -> None:
         self.members_by_name = {one.name: one for one in members}
 
+    def drop_lapsed(self, is_heard: Any) -> None:
+        """Their entries never lapse."""
+
 
 def make_reports(
     name: str, *members: registry.Member
@@ -185,6 +189,37 @@
             tasks.cancel_scope.cancel()
 
 
+class DirectoryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_members_whose_leases_ended_in_an_outage(self) -> None:
+        store = memory.create_memory_store(progress_s=0.02)
+        watched = mirror.create_mirror(store, registry.MEMBERS, gap_s=0.01)
+        directory = registry.create_directory(watched)
+        heard = {"a", "b"}
+        for name in "abc":
+            entry = base.Write(
+                f"{registry.MEMBERS}{name}",
+                msgspec.json.encode(make_member(name)),
+            )
+            await store.commit(base.Transaction((), (entry,)))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watched.run)
+            with anyio.fail_after(PATIENCE_S):
+                while len(directory.members_by_name) < 3:
+                    await anyio.sleep(0.01)
+                # The entries of two lapse; one of them is still heard.
+                for name in "bc":
+                    gone = base.Delete(f"{registry.MEMBERS}{name}")
+                    await store.commit(base.Transaction((), (gone,)))
+                while len(watched.records_by_key) > 1:
+                    await anyio.sleep(0.01)
+            directory.drop_lapsed(heard.__contains__)
+            self.assertEqual(set(directory.members_by_name), {"a", "b"})
+            heard.discard("b")
+            directory.drop_lapsed(heard.__contains__)
+            self.assertEqual(set(directory.members_by_name), {"a"})
+            tasks.cancel_scope.cancel()
+
+
 class _Setup:
     """The key-value service, with a process that relays to it."""
 
@@ -209,6 +244,10 @@
             tasks.cancel_scope.cancel()
 
 
+# A configuration is to be in force within 3 s.
+MOVED_S: Final = 3.0
+# Longer than that, and short enough for the test to end.
+SILENT_S: Final = 4.0
 WRITE: Final = base.Transaction(
     (base.Expect("a", 0),), (base.Write("a", b"1"),)
 )
@@ -283,3 +322,43 @@
                         await anyio.sleep(0.01)
                 tasks.cancel_scope.cancel()
             await store.close()
+
+    async def test_a_watch_moves_to_a_peer_when_the_store_falls_silent(
+        self,
+    ) -> None:
+        async with open_relay() as setup:
+            direct = _Gate(kv_standin.create_app(setup.back))
+            async with loopback.serve(direct) as url:
+                store = kv.create_kv_store(url.removeprefix("http://"))
+                store.set_relays(lambda: (setup.relay_address,))
+                followed = mirror.create_mirror(store, "a")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(followed.run)
+                    with anyio.fail_after(PATIENCE_S):
+                        while not followed.is_connected:
+                            await anyio.sleep(0.01)
+                    direct.is_silent = True
+                    # Connections stay open, so nothing but a call shows it.
+                    (await store.read("b")).unwrap()
+                    (await setup.back.commit(WRITE)).unwrap()
+                    with anyio.fail_after(MOVED_S):
+                        while "a" not in followed.records_by_key:
+                            await anyio.sleep(0.01)
+                    tasks.cancel_scope.cancel()
+                await store.close()
+
+
+class _Gate:
+    """An application that stops answering, but keeps connections open."""
+
+    def __init__(self, app: Any) -> None:
+        self._app = app
+        self.is_silent = False
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        async def send_late(message: Any) -> None:
+            if self.is_silent and scope["type"] == "http":
+                await anyio.sleep(SILENT_S)
+            await send(message)
+
+        await self._app(scope, receive, send_late)
