Cut calls of the key-value service and processes that nobody needs

The record of an open job is asked of its likely owner, a record never changes. Watches wait for 25 s, the list of open jobs gathers changes for 1.2 s.

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -9,6 +9,7 @@
 from eelgrassgate import logs
 from eelgrassgate.batches import owner as owner_lib
 from eelgrassgate.batches import records
+from eelgrassgate.batches import scheduling
 from eelgrassgate.batches import serving
 from eelgrassgate.gateway import node as node_lib
 from eelgrassgate.gateway import present
@@ -21,10 +22,13 @@
 LAST_S: Final = 1.0
 # Gateways tell of new jobs at once; this is for claims that lapse and jobs that
 # are ended, which may go on for 3 s.
-OPEN_GAP_S: Final = 0.7
+OPEN_GAP_S: Final = 1.2
 # An instance is told to be empty this long before it has to be.
 RETIRED_BEFORE_S: Final = 1.5
 RETRY_S: Final = 0.3
+# How often orders to empty other instances are looked at; a process that died
+# is known to be gone 3 s later.
+OTHERS_EVERY_S: Final = 0.5
 
 
 class Batch:
@@ -51,6 +55,7 @@
         )
         self._is_retiring = anyio.Event()
         self._retirement: present.Retirement | None = None
+        self._others_to_retire: set[str] = set()
         node.present.on_retirement(self._note_retirement)
         node.reports.subscribe(self._owner)
         node.relay.answer = serving.create_serving(self._owner).handle
@@ -59,6 +64,27 @@
         if order.instance == self._node.member.name:
             self._retirement = order
             self._is_retiring.set()
+        else:
+            self._others_to_retire.add(order.instance)
+
+    async def _retire_others(self) -> None:
+        """Tell that an instance on which no process of this role runs is empty.
+
+        One process tells it; which one, all agree on.
+        """
+        own = self._node.member.name
+        while True:
+            members = self._node.directory.members_by_name
+            # Without its own entry the list of members is not complete yet.
+            absent = self._others_to_retire - set(members)
+            for name in absent if own in members else ():
+                self._others_to_retire.discard(name)
+                batches = self._node.directory.get_names(registry.Role.BATCH)
+                order = scheduling.choose_owner(name, batches, owner_lib.weigh)
+                if order[:1] == [own]:
+                    await self._tell_retired(name, is_complete=True)
+                    logs.say("retired for another", name=name)
+            await anyio.sleep(OTHERS_EVERY_S)
 
     async def _retire(self) -> None:
         """Empty this instance when its operators ask for it.
@@ -68,15 +94,16 @@
         await self._is_retiring.wait()
         assert self._retirement is not None
         logs.say("retiring", in_hand=self._owner.count_running())
-        await self._tell_retired(False)
+        own = self._node.member.name
+        await self._tell_retired(own, is_complete=False)
         await self._owner.drain(self._retirement.deadline - RETIRED_BEFORE_S)
         await self._owner.give_back()
-        await self._tell_retired(True)
+        await self._tell_retired(own, is_complete=True)
         logs.say("retired")
 
-    async def _tell_retired(self, is_complete: bool) -> None:
+    async def _tell_retired(self, name: str, *, is_complete: bool) -> None:
         key, value = self._node.outside.documents.write_retired(
-            self._node.member.name, is_complete
+            name, is_complete
         )
         told = base.Transaction((), (base.Write(key, value),))
         store = self._node.outside.store
@@ -87,6 +114,7 @@
         """Run jobs until `stop`, then finish what runs."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._retire)
+            tasks.start_soon(self._retire_others)
             tasks.start_soon(self._node.run)
             tasks.start_soon(self._open.run)
             tasks.start_soon(self._owner.run)
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -35,8 +35,8 @@
 # Results that end together are listed by one call, since calls are priced.
 GATHER_S: Final = 0.25
 # How long each next member in line waits for the one before it to claim; it
-# sees a claim up to 0.8 s late.
-CLAIM_TURN_S: Final = 1.2
+# sees a claim up to 1.3 s late.
+CLAIM_TURN_S: Final = 1.7
 # Pause of an item after a run that did not count.
 RETRY_S: Final = 0.2
 STORE_RETRY_S: Final = 0.3
@@ -142,6 +142,15 @@
         known = _OpenJob(job, revision)
         self._jobs_by_id.setdefault(records.quote(job.id), known)
 
+    def find_record(self, job: str) -> records.Job | None:
+        """Return a job's record, if it is open or was closed here lately."""
+        name = records.quote(job)
+        known = self._jobs_by_id.get(name)
+        if known is not None:
+            return known.job
+        kept = self._kept_by_id.get(name)
+        return None if kept is None else kept.job
+
     def find(self, job: str) -> ownership.OwnedJob | None:
         """Return a job whose listed results are known here for certain."""
         name = records.quote(job)
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -73,15 +73,26 @@
             UnavailableError: The store can't say.
         """
         found = self._jobs_by_id.get(job)
+        if found is None:
+            found = await self._ask_record(job)
         if found is None:
             key = f"{records.JOBS}{records.quote(job)}"
             record = await _read(self._store, key)
             if record is None:
                 return None
             found = records.decode_job(record.value)
-            self._remember(found)
+        self._remember(found)
         return found if found.workspace == workspace else None
 
+    async def _ask_record(self, job: str) -> records.Job | None:
+        """Ask the likely owner for a job's record; a record never changes."""
+        for member in self._list_owners(job)[:1]:
+            target = f"{serving.PATH}{records.quote(job)}"
+            body = await self._ask(member, b"GET", target)
+            if body is not None:
+                return records.decode_job(body)
+        return None
+
     def _remember(self, job: records.Job) -> None:
         self._jobs_by_id[job.id] = job
         if len(self._jobs_by_id) > CACHED_JOBS:
@@ -187,7 +198,10 @@
         for member in self._list_owners(job.id):
             wait_s = deadlines.compute_remaining(wait_until)
             query = urllib.parse.urlencode(
-                {"after": after, "wait_ms": int(wait_s * serving.MS_PER_S)}
+                {
+                    serving.AFTER: after,
+                    "wait_ms": int(wait_s * serving.MS_PER_S),
+                }
             )
             target = f"{serving.PATH}{records.quote(job.id)}?{query}"
             body = await self._ask(member, b"GET", target, wait_s=wait_s)
--- a/eelgrassgate/batches/serving.py
+++ b/eelgrassgate/batches/serving.py
@@ -16,6 +16,9 @@
 from eelgrassgate.http1 import downstream
 
 PATH: Final = "/jobs/"
+# The position from which results are asked for; a call without it asks for the
+# job's record.
+AFTER: Final = "after"
 OK: Final = 200
 NOT_FOUND: Final = 404
 MS_PER_S: Final = 1000.0
@@ -59,7 +62,7 @@
 
 
 class Serving:
-    """Answers reads and takes note of new jobs."""
+    """Answers reads of jobs and results, and takes note of new jobs."""
 
     def __init__(self, owner: owner_lib.Owner) -> None:
         """Create; see `create_serving`."""
@@ -77,8 +80,15 @@
         path, _, query = incoming.target.decode("latin-1").partition("?")
         job = urllib.parse.unquote(path.removeprefix(PATH))
         fields = dict(urllib.parse.parse_qsl(query))
+        if AFTER not in fields:
+            record = self._owner.find_record(job)
+            if record is None:
+                await responder.reply(NOT_FOUND)
+            else:
+                await responder.reply(OK, (), msgspec.json.encode(record))
+            return
         wait_s = int(fields.get("wait_ms", "0")) / MS_PER_S
-        listing = await self._read(job, int(fields["after"]), wait_s)
+        listing = await self._read(job, int(fields[AFTER]), wait_s)
         if listing is None:
             await responder.reply(NOT_FOUND)
         else:
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -14,8 +14,8 @@
 
 # A peer that does not reach the store either is to say so soon.
 CONNECT_TIMEOUT_S: Final = 0.4
-# Longest that a passed call may take: a watch waits for 10 s.
-CALL_TIMEOUT_S: Final = 14.0
+# Longest that a passed call may take: a watch waits for 25 s.
+CALL_TIMEOUT_S: Final = 29.0
 BAD_GATEWAY: Final = 502
 NOT_FOUND: Final = 404
 JOBS_PATH: Final = b"/jobs/"
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -23,7 +23,7 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 # A watch that hears nothing is renewed; each renewal is a priced call. A
 # silent connection is found sooner, by keep-alive probes.
-WATCH_WAIT_S: Final = 10.0
+WATCH_WAIT_S: Final = 25.0
 # How much later than asked the answer to a waiting watch may come.
 WATCH_SLACK_S: Final = 3.0
 
--- /dev/null
+++ b/tests/test_batch_daemon.py
@@ -0,0 +1,153 @@
+"""Whole batch processes on loopback, over a store in memory."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+from typing import Any
+from typing import Final
+import unittest
+
+import anyio
+import msgspec
+
+from eelgrassgate.batches import daemon
+from eelgrassgate.batches import results
+from eelgrassgate.gateway import node
+from eelgrassgate.gateway import settings
+from eelgrassgate.peering import registry
+from eelgrassgate.platform import batch_calls
+from eelgrassgate.platform import dialect
+from eelgrassgate.platform import documents
+from eelgrassgate.store import base
+from eelgrassgate.store import faulty
+from eelgrassgate.store import memory
+from eelgrassgate.store import mirror
+from tests import loopback
+from tests import site as site_lib
+from tests import test_batches
+
+PATIENCE_S: Final = 10.0
+# Nothing more is expected to happen after so long.
+QUIET_S: Final = 1.5
+
+
+class DirectStore(faulty.FaultyStore):
+    """A store that every process reaches by itself."""
+
+    def has_answered(self) -> bool:
+        return True
+
+    def set_relays(self, get_relays: Callable[[], tuple[str, ...]]) -> None:
+        """No call needs a way round."""
+
+
+def make_store() -> Any:
+    made = faulty.create_faulty_store(
+        memory.create_memory_store(progress_s=0.02)
+    )
+    made.__class__ = DirectStore
+    return made
+
+
+def make_batch(store: Any, name: str) -> daemon.Batch:
+    ports = loopback.find_free_ports(3)
+    reports, relay, metrics = (f"127.0.0.1:{one}" for one in ports)
+    own = settings.Node(
+        name, "z1", "r1", {"z1": "r1"}, "", reports, relay, metrics, 2.0
+    )
+    outside = node.Outside(
+        store,
+        documents.PlatformDocuments(),
+        dialect.PlatformDialect(),
+        batch_calls.PlatformBatchDialect(),
+    )
+    return daemon.create_batch(own, outside)
+
+
+@contextlib.asynccontextmanager
+async def open_batches(store: Any, *names: str) -> AsyncIterator[None]:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        for name in names:
+            tasks.start_soon(make_batch(store, name).run, stop)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+async def read_state(store: base.Store, instance: str) -> str:
+    record = (await store.read(f"status/retire/{instance}")).unwrap()
+    if record is None:
+        return ""
+    state: str = msgspec.json.decode(record.value)["state"]
+    return state
+
+
+class RetirementTest(unittest.IsolatedAsyncioTestCase):
+    async def test_instances_with_and_without_a_process(self) -> None:
+        store = make_store()
+        async with open_batches(store, "a", "b"):
+            with anyio.fail_after(PATIENCE_S):
+                for instance in ("a", "none"):
+                    order = base.Write(
+                        f"op/retire/{instance}",
+                        msgspec.json.encode({"duration-s": 3.0}),
+                    )
+                    await store.commit(base.Transaction((), (order,)))
+                for instance in ("a", "none"):
+                    while await read_state(store, instance) != "completed":
+                        await anyio.sleep(0.02)
+            # Nobody speaks for an instance whose process does so itself.
+            self.assertEqual(await read_state(store, "b"), "")
+
+    async def test_a_process_without_a_whole_list_speaks_for_nobody(
+        self,
+    ) -> None:
+        store = make_store()
+        order = base.Write(
+            "op/retire/none", msgspec.json.encode({"duration-s": 3.0})
+        )
+        await store.commit(base.Transaction((), (order,)))
+        one = make_batch(store, "a")
+        async with anyio.create_task_group() as tasks:
+            # Registered nowhere, it knows no member, not even itself.
+            tasks.start_soon(one._node.present.run)
+            tasks.start_soon(one._retire_others)
+            await anyio.sleep(QUIET_S)
+            self.assertEqual(await read_state(store, "none"), "")
+            tasks.cancel_scope.cancel()
+
+
+class RecordTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_record_of_an_open_job_costs_the_store_nothing(
+        self,
+    ) -> None:
+        store = make_store()
+        async with open_batches(store, "a"):
+            watched = mirror.create_mirror(store, registry.MEMBERS)
+            directory = registry.create_directory(watched)
+            reader = results.create_reader(store, directory, lambda name: True)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watched.run)
+                await test_batches.submit(store, 1)
+                with anyio.fail_after(PATIENCE_S):
+                    while not directory.members_by_name:
+                        await anyio.sleep(0.02)
+                    while True:
+                        before = store.counts.reads
+                        job = await reader.find(
+                            test_batches.JOB, site_lib.WORKSPACE
+                        )
+                        if store.counts.reads == before:
+                            break
+                        # Until the process has seen the job.
+                        reader = results.create_reader(
+                            store, directory, lambda name: True
+                        )
+                        await anyio.sleep(0.05)
+                assert job is not None
+                self.assertEqual(job.id, test_batches.JOB)
+                # Known or not, it is only its own workspace's.
+                self.assertIsNone(
+                    await reader.find(test_batches.JOB, "another")
+                )
+                tasks.cancel_scope.cancel()
