Hold callers while a gateway starts, and suspect endpoints that never answer

It now holds them for up to 0.5 s. - An attempt that the deadline or the caller's leave ended was neither logged nor counted, so 38 answers 504 had no endpoint to blame, and one that takes requests and never answers looked sound.

The tests failed before.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -48,6 +48,7 @@
         )
         self._service = service_lib.create_service(
             node.present.get_catalog,
+            node.present.wait_loaded,
             outside.dialect,
             self._rates,
             forwarder,
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -38,6 +38,8 @@
 # Connections that turn out dead or endpoints that moved do not count as
 # attempts; this many bound them.
 MOST_FREE_TRIES: Final = 4
+# How an attempt ended that was broken off from this side.
+STOPPED: Final = "stopped"
 
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
@@ -201,6 +203,15 @@
         except TimeoutError:
             reason = "silent"
             self._placement.note_failure(endpoint)
+        except anyio.get_cancelled_exc_class():
+            # The deadline passed or the caller left; the endpoint is explained
+            # all the same.
+            took_s = deadlines.now() - began
+            self._say_attempt(call, endpoint, STOPPED, status, "", took_s)
+            if not progress.may_have_run and took_s > placement_lib.SUSPECT_S:
+                # It may answer others meanwhile, so only this shows it.
+                self._placement.note_refusal(endpoint)
+            raise
         took_s = deadlines.now() - began
         if result is Result.DONE and status not in ERROR_CLASS:
             self._placement.note_success(endpoint, took_s)
@@ -208,22 +219,33 @@
             # It answers, but with failures or refusals; being idle, it would
             # draw more requests than any other.
             self._placement.note_refusal(endpoint)
+        self._say_attempt(call, endpoint, result.value, status, reason, took_s)
+        self._metrics.count_attempt(endpoint.service, result.value)
+        _count(progress, result)
+        is_broken = responder.has_begun and result is not Result.DONE
+        if is_broken and not route.is_idempotent():
+            raise BrokenAnswerError(reason)
+        return result
+
+    def _say_attempt(
+        self,
+        call: calls.Call,
+        endpoint: catalog.Endpoint,
+        result: str,
+        status: int,
+        reason: str,
+        took_s: float,
+    ) -> None:
         logs.say(
             "attempt",
             id=call.id,
             endpoint=endpoint.id,
             in_hand=self._loads.get(endpoint.id),
-            result=result.value,
+            result=result,
             status=status,
             reason=reason,
             took_ms=round(took_s * deadlines.MS_PER_S),
         )
-        self._metrics.count_attempt(endpoint.service, result.value)
-        _count(progress, result)
-        is_broken = responder.has_begun and result is not Result.DONE
-        if is_broken and not route.is_idempotent():
-            raise BrokenAnswerError(reason)
-        return result
 
     async def _exchange(
         self,
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -197,10 +197,10 @@
         )
 
     def note_refusal(self, endpoint: catalog.Endpoint) -> None:
-        """Note that an endpoint failed or refused a run, and says so at once.
+        """Note that an endpoint failed, refused or never answered a run.
 
-        It is chosen less often, but not left alone: the fault may lie with
-        the request.
+        It is chosen less often, but not left alone: it serves others, or the
+        fault may lie with the request.
         """
         self._failures.note(endpoint.id, has_failed=True)
 
--- a/eelgrassgate/gateway/present.py
+++ b/eelgrassgate/gateway/present.py
@@ -21,6 +21,9 @@
 ENDPOINTS_GAP_S: Final = 1.5
 CONFIG_GAP_S: Final = 0.1
 TICK_S: Final = 0.2
+# A process that starts has read both within 0.3 s; callers that come sooner
+# are better served by a short wait than by a refusal.
+LOADING_S: Final = 0.5
 
 
 class Retirement(msgspec.Struct, frozen=True):
@@ -83,6 +86,7 @@
         self._config.subscribe(self._take_config)
         self._endpoints.subscribe(self._take_endpoints)
         self._gone_at_by_id: dict[str, float] = {}
+        self._loaded = anyio.Event()
         self._on_catalog: list[Callable[[catalog.Catalog], None]] = []
         self._on_endpoints: list[
             Callable[[dict[str, catalog.Endpoint]], None]
@@ -113,6 +117,17 @@
         """Tell whether requests can be routed."""
         return bool(self.catalog.version and self._endpoints.revision)
 
+    async def wait_loaded(self) -> None:
+        """Wait until requests can be routed, but not for long."""
+        if self._loaded.is_set():
+            return
+        with anyio.move_on_after(LOADING_S):
+            await self._loaded.wait()
+
+    def _note_loaded(self) -> None:
+        if self.is_loaded():
+            self._loaded.set()
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -140,6 +155,7 @@
             )
             for listen in self._on_catalog:
                 listen(decoded)
+        self._note_loaded()
 
     def _take_order(self, key: str, value: bytes) -> None:
         retirement = self._documents.decode_retirement(key, value)
@@ -169,6 +185,7 @@
         if is_changed:
             self._tell()
         self._drop_lapsed()
+        self._note_loaded()
 
     def _get_gone_at(self) -> float:
         """Return when a missing entry counts as gone.
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -1,5 +1,6 @@
 """Decides what becomes of each request of a caller."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import traceback
 from typing import Final
@@ -28,6 +29,7 @@
     def __init__(
         self,
         read_catalog: Callable[[], catalog.Catalog],
+        wait_loaded: Callable[[], Awaitable[None]],
         dialect: calls.Dialect,
         rates: rates_lib.Rates,
         forwarder: forwarding.Forwarder,
@@ -35,6 +37,7 @@
         metrics: metrics_lib.Metrics,
     ) -> None:
         """Create; see `create_service`."""
+        self._wait_loaded = wait_loaded
         self._read_catalog = read_catalog
         self._dialect = dialect
         self._rates = rates
@@ -71,6 +74,7 @@
         call: calls.Call,
         responder: downstream.Responder,
     ) -> None:
+        await self._wait_loaded()
         present = self._read_catalog()
         if not present.version:
             await self._refuse(call, UNAVAILABLE, "no configuration", responder)
@@ -157,6 +161,7 @@
 
 def create_service(
     read_catalog: Callable[[], catalog.Catalog],
+    wait_loaded: Callable[[], Awaitable[None]],
     dialect: calls.Dialect,
     rates: rates_lib.Rates,
     forwarder: forwarding.Forwarder,
@@ -167,10 +172,19 @@
 
     Args:
         read_catalog: Returns the configuration in force.
+        wait_loaded: Waits for the first configuration, but not for long.
         dialect: Names on the wire.
         rates: Rates of workspaces.
         forwarder: Forwards requests.
         batches: Answers calls on batch jobs.
         metrics: Where requests are counted.
     """
-    return Service(read_catalog, dialect, rates, forwarder, batches, metrics)
+    return Service(
+        read_catalog,
+        wait_loaded,
+        dialect,
+        rates,
+        forwarder,
+        batches,
+        metrics,
+    )
--- a/tests/site.py
+++ b/tests/site.py
@@ -165,9 +165,10 @@
         self.endpoints = [endpoint.create_endpoint(name) for name in names]
         self.catalog = make_catalog()
         self.loads = loads.create_loads()
+        self.failures = failures.create_failures()
         self.placement = placement_lib.create_placement(
             self.loads,
-            failures.create_failures(),
+            self.failures,
             "z1",
             {"z1": "r1", "z2": "r1", "z3": "r2"},
         )
@@ -176,12 +177,14 @@
         self.rates = rates_lib.create_rates(self.spent.append)
         self.metrics = metrics_lib.create_metrics()
         self.address = ""
+        self.loading_s = 0.0
         self.listener = downstream.Listener(
             lambda: self.catalog.limits, self._handle, lambda: False
         )
         batches: Any = NoBatches()
         self.service = service_lib.create_service(
             lambda: self.catalog,
+            self.wait_loaded,
             dialect.PlatformDialect(),
             self.rates,
             forwarding.create_forwarder(
@@ -200,6 +203,11 @@
     ) -> None:
         await self.service.handle(incoming, responder)
 
+    async def wait_loaded(self) -> None:
+        """Wait for what a test brings in force a little later."""
+        if not self.catalog.version:
+            await anyio.sleep(self.loading_s)
+
     def list_endpoints(self, *, slots: int = 8) -> None:
         """Let the gateway know its endpoints, all in its own zone."""
         self.placement.set_endpoints(
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -91,6 +91,15 @@
             self.assertEqual(answer.status, 504)
             self.assertLess(time.monotonic() - began, 0.4 + SLACK_S)
 
+    async def test_an_endpoint_that_never_answers_is_suspected(self) -> None:
+        async with site_lib.open_site("e1") as site:
+            site.endpoints[0].script = endpoint.Script(is_silent=True)
+            with anyio.move_on_after(0.7):
+                await site_lib.call(site.address, "/stream/a")
+            with anyio.fail_after(SLACK_S):
+                while not site.failures.get_part("e1"):
+                    await anyio.sleep(0.01)
+
     async def test_an_endpoint_sees_when_the_caller_leaves(self) -> None:
         async with site_lib.open_site("e1") as site:
             one = site.endpoints[0]
@@ -176,6 +185,20 @@
             self.assertEqual(answer.status, 503)
             self.assertIn(b"retry-after", answer.headers)
 
+    async def test_who_comes_while_a_gateway_starts_is_served(self) -> None:
+        async with site_lib.open_site() as site:
+            site.loading_s = 0.2
+            present, site.catalog = site.catalog, catalog.EMPTY
+
+            async def load() -> None:
+                await anyio.sleep(0.1)
+                site.catalog = present
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(load)
+                answer = await site_lib.call(site.address, "/plain/a")
+            self.assertEqual(answer.status, 200)
+
     async def test_beyond_the_rate(self) -> None:
         async with site_lib.open_site() as site:
             site.catalog = site_lib.make_catalog(rate_per_s=1.0, burst=4.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import tempfile
+import time
 import tomllib
 from typing import Any
 from typing import Final
@@ -120,7 +121,7 @@
         ):
             route = found.find_route("DESK.example", path)
             self.assertEqual(route and route.name, name, path)
-        long = found.get_route("long")
+        long = found.find_route("desk.example", "/a/b/x")
         assert long is not None
         self.assertEqual(long.kind, catalog.Kind.BATCH)
         self.assertEqual((long.completion_s, long.retention_s), (18.0, 60.0))
@@ -278,6 +279,21 @@
             await self.wait(lambda: self.present.catalog.version == 9)
             tasks.cancel_scope.cancel()
 
+    async def test_a_start_is_waited_for_but_not_for_long(self) -> None:
+        began = time.monotonic()
+        await self.present.wait_loaded()
+        took_s = time.monotonic() - began
+        self.assertGreaterEqual(took_s, 0.9 * present_lib.LOADING_S)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.present.run)
+            await put(self.store, "servers/i-1", ENTRY)
+            await put(self.store, "op/config", CONFIG)
+            await self.wait(self.present.is_loaded)
+            began = time.monotonic()
+            await self.present.wait_loaded()
+            self.assertLess(time.monotonic() - began, 0.1)
+            tasks.cancel_scope.cancel()
+
     async def test_an_endpoint_that_leaves_is_gone_at_once(self) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.present.run)
