--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -118,7 +118,7 @@
         watched.subscribe(self._take)
 
     def _take(self, changes: tuple[base.Change, ...]) -> None:
-        """Follow jobs, heads, claims and ends."""
+        """Follow open jobs and ends; claims are looked up in the mirror."""
         for change in changes:
             kind, job = _split_key(change.key)
             if kind == records.OPEN_JOBS:
@@ -226,7 +226,7 @@
                 if claim is not None:
                     owned.replace_claim(claim.revision)
                 self._owned_by_id[name] = owned
-                tasks.start_soon(self._hold, name, owned, tasks)
+                tasks.start_soon(self._hold, name, owned)
 
     def _close_ended(self, tasks: abc.TaskGroup) -> None:
         """Forget jobs that their callers have ended."""
@@ -264,12 +264,7 @@
         is_own = owner == self._member.name
         return is_own and incarnation != self._member.incarnation
 
-    async def _hold(
-        self,
-        name: str,
-        owned: ownership.OwnedJob,
-        tasks: abc.TaskGroup,
-    ) -> None:
+    async def _hold(self, name: str, owned: ownership.OwnedJob) -> None:
         """Claim a job, list its results, until it is closed or lost."""
         is_loaded = False
         try:
@@ -351,10 +346,14 @@
         """Start waiting items where there is room, those due first."""
         waiting = self._rank_waiting()
         now = deadlines.now()
+        self._next_start_by_endpoint = {
+            name: next_at
+            for name, next_at in self._next_start_by_endpoint.items()
+            if next_at > now
+        }
 
         def may_use(endpoint: catalog.Endpoint) -> bool:
-            next_at = self._next_start_by_endpoint.get(endpoint.id, 0.0)
-            return now >= next_at
+            return endpoint.id not in self._next_start_by_endpoint
 
         full: set[str] = set()
         for owned, progress in waiting:
--- a/eelgrassgate/gateway/catalog.py
+++ b/eelgrassgate/gateway/catalog.py
@@ -136,14 +136,6 @@
                 return route
         return None
 
-    def get_route(self, name: str) -> Route | None:
-        """Return the route of that name."""
-        for routes in self.routes_by_host.values():
-            for route in routes:
-                if route.name == name:
-                    return route
-        return None
-
     def has_host(self, host: str) -> bool:
         """Tell whether any route serves `host`."""
         return host.lower() in self.routes_by_host
