Add a soak of real processes under faults from outside

A check that was wrong at first is mended: it took answers that were still being written for cut ones.

--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -49,11 +49,13 @@
     Attributes:
         incoming: The request as it arrived.
         first: Number of its first event.
+        status: The status of its answer.
         is_ended: Whether it ended by itself.
     """
 
     incoming: downstream.Incoming
     first: int
+    status: int = OK
     is_ended: bool = False
 
     @property
@@ -105,7 +107,7 @@
             await responder.reply(UNAVAILABLE, [(b"not-executed", b"1")])
             return
         first = int(incoming.get(b"last-event-id") or b"0") + 1
-        run = Run(incoming, first)
+        run = Run(incoming, first, script.status)
         self.runs.append(run)
         if script.is_silent:
             await anyio.sleep_forever()
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,202 @@
+"""The world around a soak: store, endpoints, operators, and the programs."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import pathlib
+from typing import Any
+from typing import Final
+
+import anyio
+from anyio import abc
+import msgspec
+from returns import result
+
+from eelgrassgate.standins import endpoint as endpoint_lib
+from eelgrassgate.standins import kv
+from eelgrassgate.store import base
+from eelgrassgate.store import faulty
+from eelgrassgate.store import memory
+from tests import loopback
+from tests.soak import daemons
+from tests.soak import proxies
+
+HOST: Final = "desk.example"
+WORKSPACE: Final = "desk"
+KEY: Final = "key-1"
+SECOND_KEY: Final = "key-2"
+ENDPOINTS: Final = 4
+EVENTS: Final = 8
+EVENT_GAP_S: Final = 0.03
+# The stand-ins' servers wait for open calls for so long at their end.
+END_S: Final = 8.0
+PLACES: Final = (
+    ("gateway", "front-1", 1, "z1"),
+    ("gateway", "front-2", 2, "z2"),
+    ("batch", "store-1", 3, "z1"),
+    ("batch", "store-2", 4, "z2"),
+)
+
+
+def _make_route(prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout-ms": 4000,
+        "target-latency-ms": 300,
+        "priority": 0,
+        "service": "engine",
+        "max-attempts": 2,
+        **fields,
+    }
+
+
+ROUTES: Final = [
+    _make_route("/plain/", "safe"),
+    _make_route("/once/", "unsafe", **{"max-attempts": 1}),
+    _make_route("/stream/", "streaming", **{"max-attempts": 1}),
+    _make_route("/resumable/", "streaming", **{"allow-resume": True}),
+    _make_route(
+        "/batch/",
+        "batch",
+        **{
+            "max-attempts": 3,
+            "completion-target-ms": 18_000,
+            "retention-s": 60,
+        },
+    ),
+]
+
+
+class World:
+    """Everything that the programs talk to, and the programs."""
+
+    def __init__(self, folder: pathlib.Path, network: int) -> None:
+        """Create with nothing running; `network` keeps soaks apart."""
+        self.store = faulty.create_faulty_store(
+            memory.create_memory_store(progress_s=0.1)
+        )
+        self.endpoints = [
+            endpoint_lib.create_endpoint(f"i-{number}")
+            for number in range(ENDPOINTS)
+        ]
+        self.endpoint_proxies: list[proxies.Proxy] = []
+        self.store_proxies_by_name: dict[str, proxies.Proxy] = {}
+        self.daemons_by_name: dict[str, daemons.Daemon] = {}
+        self.version = 0
+        self.is_over = anyio.Event()
+        self._folder = folder
+        self._network = network
+
+    def get_gateways(self) -> list[daemons.Daemon]:
+        """Return the processes that callers reach."""
+        return [
+            one
+            for one in self.daemons_by_name.values()
+            if one.role == "gateway"
+        ]
+
+    def calm_endpoint(self, number: int) -> None:
+        """Let an endpoint answer well."""
+        self.endpoints[number].script = endpoint_lib.Script(
+            events=EVENTS, gap_s=EVENT_GAP_S
+        )
+
+    async def write(self, key: str, document: object) -> None:
+        """Write as operators and endpoints do, whatever the store's state."""
+        change = base.Write(key, msgspec.json.encode(document))
+        while isinstance(
+            await self.store.commit(base.Transaction((), (change,))),
+            result.Failure,
+        ):
+            await anyio.sleep(0.1)
+
+    async def configure(self, keys: tuple[str, ...]) -> None:
+        """Put a new version of the configuration in force."""
+        self.version += 1
+        await self.write(
+            "op/config",
+            {
+                "version": self.version,
+                "routes": ROUTES,
+                "services": [
+                    {"name": "engine", "max-connections": 300, "engine": {}}
+                ],
+                "limits": {"idle-timeout-ms": 15_000},
+                "tenants": [{"name": WORKSPACE, "api-keys": list(keys)}],
+            },
+        )
+
+    async def run(
+        self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve the outside world and start the programs."""
+        async with (
+            loopback.serve(kv.create_app(self.store)) as url,
+            anyio.create_task_group() as tasks,
+        ):
+            for number, one in enumerate(self.endpoints):
+                await tasks.start(one.serve)
+                self.calm_endpoint(number)
+                await self._list_endpoint(tasks, one)
+            await self.configure((KEY, SECOND_KEY))
+            for role, name, number, zone in PLACES:
+                proxy = proxies.Proxy(url.removeprefix("http://"))
+                await tasks.start(proxy.serve, "127.0.0.1")
+                self.store_proxies_by_name[name] = proxy
+                self.daemons_by_name[name] = daemons.Daemon(
+                    role,
+                    name,
+                    f"127.{self._network}.0.{number}",
+                    zone,
+                    proxy.address,
+                    self._folder,
+                )
+                self.daemons_by_name[name].start()
+            task_status.started()
+            await self.is_over.wait()
+            tasks.cancel_scope.cancel()
+
+    async def _list_endpoint(
+        self, tasks: abc.TaskGroup, one: endpoint_lib.Endpoint
+    ) -> None:
+        proxy = proxies.Proxy(one.address)
+        await tasks.start(proxy.serve, "127.0.0.1")
+        self.endpoint_proxies.append(proxy)
+        await self.write(
+            f"servers/{one.name}",
+            {
+                "service": "engine",
+                "address": proxy.address,
+                "zone": "z1",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "cold-remaining-ms": 0,
+                "sequence": 1,
+                "born": 1_800_000_000_000,
+            },
+        )
+
+    async def end(self) -> None:
+        """End the processes that this world started, by their ids."""
+        for one in self.daemons_by_name.values():
+            await one.kill()
+
+
+@contextlib.asynccontextmanager
+async def open_world(
+    folder: pathlib.Path, network: int
+) -> AsyncIterator[World]:
+    """Run a world; its processes are ended whatever happens."""
+    world = World(folder, network)
+    async with anyio.create_task_group() as tasks:
+        try:
+            await tasks.start(world.run)
+            yield world
+        finally:
+            with anyio.CancelScope(shield=True):
+                await world.end()
+            world.is_over.set()
+            tasks.cancel_scope.deadline = anyio.current_time() + END_S
