End watches when the store is lost, whether a peer was known or not

Ruled out: silence of one connection, which keep-alive probes end after 3 s.

Watches now always end when the store is lost. Through a peer they wait for 1.5 s, since nothing tells of a peer that loses the store as well.

--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -26,6 +26,10 @@
 WATCH_WAIT_S: Final = 25.0
 # How much later than asked the answer to a waiting watch may come.
 WATCH_SLACK_S: Final = 3.0
+# Through a peer a watch waits less: when that peer loses the service, nothing
+# tells the process that waits, and a configuration is due within 3 s.
+RELAYED_WAIT_S: Final = 1.5
+RELAYED_SLACK_S: Final = 1.0
 
 MS_PER_S: Final = 1000.0
 OK: Final = 200
@@ -261,17 +265,21 @@
         """
         after = from_revision - 1
         while True:
+            wait_s, slack_s = self._watch_wait_s, WATCH_SLACK_S
+            if not self._is_direct:
+                wait_s = min(wait_s, RELAYED_WAIT_S)
+                slack_s = RELAYED_SLACK_S
             query = {
                 "prefix": prefix,
                 "after": str(after),
-                "wait-ms": str(int(self._watch_wait_s * MS_PER_S)),
+                "wait-ms": str(int(wait_s * MS_PER_S)),
             }
             try:
                 status, body = await self._call(
                     b"GET",
                     _write_target("/kv-watch", query),
                     is_write=False,
-                    timeout_s=self._watch_wait_s + WATCH_SLACK_S,
+                    timeout_s=wait_s + slack_s,
                 )
                 if status == GONE:
                     page = await self.read_range(prefix)
@@ -306,12 +314,14 @@
         request = upstream.Request(method, target, tuple(headers), body)
         exchange = _Exchange(request, is_write, timeout_s)
         relays = self._list_relays()
-        if not relays:
-            return await self._call_directly(exchange)
-        if not deadlines.is_past(self._direct_again_at):
+        if relays and not deadlines.is_past(self._direct_again_at):
             return await self._call_relays(exchange, relays)
         if timeout_s > CALL_TIMEOUT_S:
+            # Also without a relay: one may be known by the time that the
+            # service is lost.
             return await self._wait_directly(exchange)
+        if not relays:
+            return await self._call_directly(exchange)
         return await self._call_both(exchange, relays)
 
     def _list_relays(self) -> list[str]:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -26,6 +26,7 @@
 JOB_EVERY_S: Final = 1.5
 PATHS: Final = ("/plain/", "/once/", "/stream/", "/resumable/")
 CALM_CALLS: Final = 10
+TICK_S: Final = 0.05
 OK: Final = 200
 UNAUTHORIZED: Final = 401
 
@@ -40,6 +41,8 @@
         served: How many of them got a whole answer.
         findings: Broken promises.
         folder: Where the logs of the processes are.
+        late_s: How late the stand-ins' own timers were at the worst; callers
+            see it as the system's lateness.
     """
 
     seed: int
@@ -48,6 +51,7 @@
     served: int
     findings: list[str]
     folder: str
+    late_s: float = 0.0
 
 
 async def play(seed: int, network: int) -> Report:
@@ -60,6 +64,7 @@
             report.findings.append("nothing is served after the start")
             return report
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_watch_timers, callers, report)
             for path in PATHS:
                 tasks.start_soon(callers.run_online, path)
             tasks.start_soon(_hand_in, callers, tasks)
@@ -73,6 +78,13 @@
     return report
 
 
+async def _watch_timers(callers: callers_lib.Callers, report: Report) -> None:
+    while callers.is_calling:
+        due = time.monotonic() + TICK_S
+        await anyio.sleep(TICK_S)
+        report.late_s = max(report.late_s, time.monotonic() - due)
+
+
 async def _hand_in(
     callers: callers_lib.Callers, tasks: anyio.abc.TaskGroup
 ) -> None:
