--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -21,9 +21,9 @@
 CALL_TIMEOUT_S: Final = 2.0
 # A connection needs one round trip, 60 ms between regions.
 CONNECT_TIMEOUT_S: Final = 1.0
-# A watch that hears nothing is renewed; each renewal is a priced call. Two waits
-# are within the 20 s of history that the service keeps. A silent connection is
-# found sooner, by keep-alive probes.
+# A watch that hears nothing is renewed; each renewal is a priced call. Two
+# waits lie within the 20 s of history that the service keeps. A silent
+# connection is found sooner, by keep-alive probes.
 WATCH_WAIT_S: Final = 10.0
 # How much later than asked the answer to a waiting watch may come.
 WATCH_SLACK_S: Final = 3.0
