Fetch configurations from peers, and confirm them with an age

Cause: every process watched the whole configuration at the store. With 1,400 added routes it is about 520 kB as base64, so one change took about 62 Mbit to the far region's 15 processes over a link of 30 Mbit/s, and changes in a row queued up behind each other. Nothing told a process that it was behind: it kept its version because it had heard of no other.

Two processes of each region now watch the store. The others hear versions in the load reports and fetch the configuration, compressed, from the nearest process that has it. Watchers report when the store last confirmed their version and at which revision; a process without a confirmation of the last 2 s watches the store itself, from that revision on. Versions that are not newer are never applied, whatever their source.

Weighed against it: a shorter watch for each process (the same bytes), and relaying all watches of a region through one process (the same single point, and relayed watches can't be compressed at the store).

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -72,7 +72,7 @@
         return self._node.discovery.is_loaded() and not self._is_draining
 
     def _read_limits(self) -> downstream.Limits:
-        return self._node.discovery.catalog.limits
+        return self._node.discovery.get_catalog().limits
 
     def _is_closing(self) -> bool:
         return self._is_draining
--- a/eelgrassgate/gateway/discovery.py
+++ b/eelgrassgate/gateway/discovery.py
@@ -10,6 +10,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import config_sync
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
@@ -20,7 +21,7 @@
 # so changes are batched. The delay must stay below the 3 s for which a draining
 # endpoint may still get work.
 ENDPOINTS_BATCH_DELAY_S: Final = 1.5
-CONFIG_BATCH_DELAY_S: Final = 0.1
+RETIREMENTS_BATCH_DELAY_S: Final = 0.1
 EXPIRY_CHECK_INTERVAL_S: Final = 0.2
 # A starting process loads the configuration and the endpoints within 0.3 s;
 # requests that arrive earlier wait briefly instead of being refused.
@@ -43,12 +44,13 @@
     """Store keys and decoders of the configuration and the endpoints.
 
     Attributes:
-        operator_prefix: Prefix of the keys that the operators write.
+        retirements_prefix: Prefix of the operators' requests to drain
+            instances.
         config_key: Key of the configuration.
         endpoints_prefix: Prefix of the endpoints' keys.
     """
 
-    operator_prefix: str
+    retirements_prefix: str
     config_key: str
     endpoints_prefix: str
 
@@ -76,41 +78,46 @@
 class Discovery:
     """Follows the configuration and the endpoints in the store.
 
-    Configurations older than the current one are ignored.
-
     Attributes:
-        catalog: The current configuration; `catalog.EMPTY` before the first.
+        config: The configuration and its source.
         endpoints_by_id: The registered endpoints.
     """
 
-    def __init__(self, store: base.Store, documents: Documents) -> None:
+    def __init__(
+        self,
+        store: base.Store,
+        documents: Documents,
+        config: config_sync.ConfigSync,
+    ) -> None:
         """Initialize without a configuration; see `create_discovery`."""
         self._documents = documents
-        self._config = mirror.create_mirror(
-            store, documents.operator_prefix, batch_delay_s=CONFIG_BATCH_DELAY_S
+        self.config = config
+        self._retirements = mirror.create_mirror(
+            store,
+            documents.retirements_prefix,
+            batch_delay_s=RETIREMENTS_BATCH_DELAY_S,
         )
         self._endpoints = mirror.create_mirror(
             store,
             documents.endpoints_prefix,
             batch_delay_s=ENDPOINTS_BATCH_DELAY_S,
         )
-        self._config.subscribe(self._apply_config)
+        self.config.subscribe(lambda _: self._signal_if_loaded())
+        self._retirements.subscribe(self._apply_retirements)
         self._endpoints.subscribe(self._apply_endpoints)
         self._expires_at_by_id: dict[str, float] = {}
         self._loaded = anyio.Event()
-        self._catalog_listeners: list[Callable[[catalog.Catalog], None]] = []
         self._endpoints_listeners: list[
             Callable[[dict[str, catalog.Endpoint]], None]
         ] = []
         self._retirement_listeners: list[Callable[[Retirement], None]] = []
-        self.catalog = catalog.EMPTY
         self.endpoints_by_id: dict[str, catalog.Endpoint] = {}
 
     def subscribe_to_catalog(
         self, listener: Callable[[catalog.Catalog], None]
     ) -> None:
         """Call `listener` with each new configuration."""
-        self._catalog_listeners.append(listener)
+        self.config.subscribe(listener)
 
     def subscribe_to_endpoints(
         self, listener: Callable[[dict[str, catalog.Endpoint]], None]
@@ -126,11 +133,11 @@
 
     def get_catalog(self) -> catalog.Catalog:
         """Return the current configuration."""
-        return self.catalog
+        return self.config.catalog
 
     def is_loaded(self) -> bool:
         """Return whether configuration and endpoints have been loaded."""
-        return bool(self.catalog.version and self._endpoints.revision)
+        return bool(self.config.catalog.version and self._endpoints.revision)
 
     async def wait_until_loaded(self) -> None:
         """Wait until loaded, at most `MAX_LOAD_WAIT_S`."""
@@ -146,37 +153,24 @@
     async def run(self) -> None:
         """Follow the store until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._config.run)
+            tasks.start_soon(self.config.run)
+            if self._retirement_listeners:
+                tasks.start_soon(self._retirements.run)
             tasks.start_soon(self._endpoints.run)
             while True:
                 await anyio.sleep(EXPIRY_CHECK_INTERVAL_S)
                 self._remove_expired()
 
-    def _apply_config(self, changes: tuple[base.Change, ...]) -> None:
+    def _apply_retirements(self, changes: tuple[base.Change, ...]) -> None:
         for change in changes:
             if not change.value:
                 continue
-            if change.key != self._documents.config_key:
-                self._apply_retirement(change.key, change.value)
-                continue
-            decoded = self._documents.decode_config(change.value)
-            if decoded is None or decoded.version <= self.catalog.version:
-                continue
-            self.catalog = decoded
-            logs.log_message(
-                "config:applied",
-                version=decoded.version,
-                revision=change.revision,
+            retirement = self._documents.decode_retirement(
+                change.key, change.value
             )
-            for listener in self._catalog_listeners:
-                listener(decoded)
-        self._signal_if_loaded()
-
-    def _apply_retirement(self, key: str, value: bytes) -> None:
-        retirement = self._documents.decode_retirement(key, value)
-        if retirement is not None:
-            for listener in self._retirement_listeners:
-                listener(retirement)
+            if retirement is not None:
+                for listener in self._retirement_listeners:
+                    listener(retirement)
 
     def _apply_endpoints(self, changes: tuple[base.Change, ...]) -> None:
         prefix = self._documents.endpoints_prefix
@@ -242,6 +236,20 @@
     )
 
 
-def create_discovery(store: base.Store, documents: Documents) -> Discovery:
-    """Create the discovery of configuration and endpoints."""
-    return Discovery(store, documents)
+def create_discovery(
+    store: base.Store,
+    documents: Documents,
+    config: config_sync.ConfigSync | None = None,
+) -> Discovery:
+    """Create the discovery of configuration and endpoints.
+
+    Args:
+        store: The store.
+        documents: Store keys and decoders.
+        config: The configuration; by default it only follows the store.
+    """
+    if config is None:
+        config = config_sync.create_config_sync(
+            store, documents.config_key, documents.decode_config
+        )
+    return Discovery(store, documents, config)
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -12,6 +12,7 @@
 from eelgrassgate import logs
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import config_sync
 from eelgrassgate.gateway import discovery as discovery_lib
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
@@ -114,8 +115,19 @@
             node_settings.zone,
             node_settings.region_by_zone,
         )
+        config = config_sync.create_config_sync(
+            adapters.store,
+            adapters.documents.config_key,
+            adapters.documents.decode_config,
+            self.member,
+            self.reports,
+            adapters.store.is_directly_reachable,
+        )
+        self.reports.set_config_source(config.get_status)
+        self.reports.subscribe(config)
+        self.relay.config_handler = config.handle
         self.discovery = discovery_lib.create_discovery(
-            adapters.store, adapters.documents
+            adapters.store, adapters.documents, config
         )
         self.discovery.subscribe_to_endpoints(self.placement.set_endpoints)
 
@@ -142,6 +154,7 @@
                         "event loop delayed", late_ms=round(late_s * MS_PER_S)
                     )
                 await self.pool.sweep()
+                await self.discovery.config.sweep()
 
 
 def create_node(
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -1,7 +1,8 @@
 """HTTP server for calls from peers.
 
 Store calls are relayed for processes that can't reach the store directly; calls
-about jobs are handled here if this process owns jobs.
+about the configuration, and about jobs if this process owns any, are handled
+here.
 """
 
 from typing import Final
@@ -20,6 +21,7 @@
 BAD_GATEWAY: Final = 502
 NOT_FOUND: Final = 404
 JOBS_PATH: Final = b"/jobs/"
+CONFIG_PATH: Final = b"/config"
 _CONNECTION_HEADERS: Final = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length"}
 )
@@ -30,12 +32,14 @@
 
     Attributes:
         job_handler: Handles calls about jobs; None if this process owns none.
+        config_handler: Handles calls for the configuration.
     """
 
     def __init__(self, address: str) -> None:
         """Initialize; see `create_relay`."""
         self._address = address
         self.job_handler: downstream.Handler | None = None
+        self.config_handler: downstream.Handler | None = None
         self._pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self._listener = downstream.Listener(
             downstream.Limits, self._handle, lambda: False
@@ -52,11 +56,14 @@
         incoming: downstream.IncomingRequest,
         responder: downstream.Responder,
     ) -> None:
-        if incoming.target.startswith(JOBS_PATH):
-            if self.job_handler is None:
+        if incoming.target.startswith((JOBS_PATH, CONFIG_PATH)):
+            handler = self.job_handler
+            if incoming.target == CONFIG_PATH:
+                handler = self.config_handler
+            if handler is None:
                 await responder.reply(NOT_FOUND)
             else:
-                await self.job_handler(incoming, responder)
+                await handler(incoming, responder)
             return
         headers = [
             one for one in incoming.headers if one[0] not in _CONNECTION_HEADERS
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -40,6 +40,21 @@
 MIN_SEND_WAIT_S: Final = 0.005
 
 
+class ConfigStatus(msgspec.Struct, frozen=True, array_like=True):
+    """Which configuration a process has, and how recently it was confirmed.
+
+    Attributes:
+        version: Version of the configuration; 0 without one.
+        revision: Revision of the store at which the process itself found
+            that version to be the newest; 0 if it does not watch the store.
+        age_s: Seconds since then.
+    """
+
+    version: int = 0
+    revision: int = 0
+    age_s: float = 0.0
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """Load report of one process.
 
@@ -59,6 +74,7 @@
             suspected endpoints.
         is_leaving: Whether the process is shutting down; peers then remove it
             as soon as its entry expires.
+        config: Its configuration.
     """
 
     name: str
@@ -72,6 +88,7 @@
     missing_peers: tuple[str, ...] = ()
     failures_by_endpoint: dict[str, tuple[float, float]] = {}
     is_leaving: bool = False
+    config: ConfigStatus = ConfigStatus()
 
 
 class Peer(msgspec.Struct):
@@ -83,10 +100,11 @@
 
 
 class _Sent(msgspec.Struct, frozen=True):
-    """Time and load version of the last report sent."""
+    """Time, load version and configuration version of the last report."""
 
     at: float
-    version: int
+    load_version: int
+    config_version: int
 
 
 _DECODER: Final = msgspec.msgpack.Decoder(Report)
@@ -122,6 +140,20 @@
         self._listeners: list[ReportListener] = []
         self._admitted_by_workspace: dict[str, float] = {}
         self._admitted_at_by_workspace: dict[str, float] = {}
+        self._read_config_status: Callable[[], ConfigStatus] = ConfigStatus
+
+    def set_config_source(self, read: Callable[[], ConfigStatus]) -> None:
+        """Set what the reports tell of this process's configuration."""
+        self._read_config_status = read
+
+    def get_peers(self) -> dict[registry.Member, Peer]:
+        """Return the live processes that report, by their registration."""
+        members = self._directory.members_by_name
+        return {
+            members[name]: peer
+            for name, peer in self._peers_by_name.items()
+            if name in members and self._is_active(name)
+        }
 
     def subscribe(self, listener: "ReportListener") -> None:
         """Call `listener.handle_report` with each newer report."""
@@ -259,7 +291,8 @@
         self, socket: abc.UDPSocket, last_sent_by_interval: dict[float, _Sent]
     ) -> None:
         now = deadlines.now()
-        version = self._loads.version
+        load_version = self._loads.version
+        config_version = self._read_config_status().version
         due: set[float] = set()
         for interval_s in (
             SAME_ZONE_INTERVAL_S,
@@ -268,11 +301,16 @@
         ):
             last = last_sent_by_interval.get(interval_s)
             wait_s = interval_s
-            if last is not None and last.version == version:
+            if last is not None and (
+                last.load_version == load_version
+                and last.config_version == config_version
+            ):
                 wait_s = IDLE_INTERVAL_S
             if last is None or now >= last.at + wait_s:
                 due.add(interval_s)
-                last_sent_by_interval[interval_s] = _Sent(now, version)
+                last_sent_by_interval[interval_s] = _Sent(
+                    now, load_version, config_version
+                )
         if not due:
             return
         with_admissions = self._encode(self._list_recent_admissions(now))
@@ -373,6 +411,7 @@
             ),
             self._failures.get_suspect_counts(),
             self.is_leaving,
+            self._read_config_status(),
         )
         return _ENCODER.encode(report)
 
--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -12,7 +12,6 @@
 from eelgrassgate.http1 import downstream
 
 # Keys that operators write.
-OPERATOR_PREFIX: Final = "op/"
 CONFIG_KEY: Final = "op/config"
 ENDPOINT_PREFIX: Final = "servers/"
 RETIREMENT_PREFIX: Final = "op/retire/"
@@ -217,7 +216,7 @@
 class PlatformDocuments:
     """An implementation of `discovery.Documents`."""
 
-    operator_prefix = OPERATOR_PREFIX
+    retirements_prefix = RETIREMENT_PREFIX
     config_key = CONFIG_KEY
     endpoints_prefix = ENDPOINT_PREFIX
     decode_config = staticmethod(decode_config)
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -255,7 +255,11 @@
         return result.Success(None)
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self,
+        prefix: str,
+        from_revision: int,
+        *,
+        max_wait_s: float | None = None,
     ) -> AsyncIterator[
         result.Result[base.Changes | base.Compacted, base.StoreError]
     ]:
@@ -268,6 +272,8 @@
         seen = after
         while True:
             long_poll_s, grace_s = self._long_poll_s, LONG_POLL_GRACE_S
+            if max_wait_s is not None:
+                long_poll_s = min(long_poll_s, max_wait_s)
             if not self._is_direct:
                 long_poll_s = min(long_poll_s, RELAYED_LONG_POLL_S)
                 grace_s = RELAYED_LONG_POLL_GRACE_S
--- a/eelgrassgate/store/base.py
+++ b/eelgrassgate/store/base.py
@@ -173,13 +173,23 @@
         ...
 
     def watch(
-        self, prefix: str, from_revision: int
+        self,
+        prefix: str,
+        from_revision: int,
+        *,
+        max_wait_s: float | None = None,
     ) -> AsyncIterator[result.Result[Changes | Compacted, StoreError]]:
         """Yield changes under `prefix` from `from_revision` on.
 
         While the store is reachable, progress notifications arrive every few
         seconds. A watch that receives nothing for longer yields a failure.
         The iterator ends after a failure or `Compacted`.
+
+        Args:
+            prefix: The prefix.
+            from_revision: The first revision to report.
+            max_wait_s: Longest time in seconds between progress
+                notifications, where the store lets its callers choose it.
         """
         ...
 
--- a/eelgrassgate/store/counted.py
+++ b/eelgrassgate/store/counted.py
@@ -67,13 +67,17 @@
         return await self._inner.revoke_lease(lease)
 
     def watch(
-        self, prefix: str, from_revision: int
+        self,
+        prefix: str,
+        from_revision: int,
+        *,
+        max_wait_s: float | None = None,
     ) -> AsyncIterator[
         result.Result[base.Changes | base.Compacted, base.StoreError]
     ]:
         """Yield changes under `prefix`."""
         self._counter.count("store_watches")
-        return self._inner.watch(prefix, from_revision)
+        return self._inner.watch(prefix, from_revision, max_wait_s=max_wait_s)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/eelgrassgate/store/etcd.py
+++ b/eelgrassgate/store/etcd.py
@@ -158,11 +158,15 @@
         return answer.map(lambda _: None)
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self,
+        prefix: str,
+        from_revision: int,
+        *,
+        max_wait_s: float | None = None,
     ) -> AsyncIterator[
         result.Result[base.Changes | base.Compacted, base.StoreError]
     ]:
-        """Yield changes under `prefix`."""
+        """Yield changes under `prefix`; the server sets the longest wait."""
         start = prefix.encode()
         request = etcd_messages.WatchRequest(
             etcd_messages.WatchCreateRequest(
--- a/eelgrassgate/store/faulty.py
+++ b/eelgrassgate/store/faulty.py
@@ -129,7 +129,11 @@
         return await self._write(lambda: self._inner.revoke_lease(lease))
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self,
+        prefix: str,
+        from_revision: int,
+        *,
+        max_wait_s: float | None = None,
     ) -> AsyncIterator[
         result.Result[base.Changes | base.Compacted, base.StoreError]
     ]:
@@ -141,7 +145,9 @@
         self.counts.watches_open += 1
         try:
             async with contextlib.aclosing(
-                self._inner.watch(prefix, from_revision)  # type: ignore[type-var]
+                self._inner.watch(  # type: ignore[type-var]
+                    prefix, from_revision, max_wait_s=max_wait_s
+                )
             ) as answers:
                 async for answer in self._inject_faults(answers):
                     yield answer
--- a/eelgrassgate/store/memory.py
+++ b/eelgrassgate/store/memory.py
@@ -149,7 +149,11 @@
         return result.Success(None)
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self,
+        prefix: str,
+        from_revision: int,
+        *,
+        max_wait_s: float | None = None,
     ) -> AsyncIterator[
         result.Result[base.Changes | base.Compacted, base.StoreError]
     ]:
@@ -162,7 +166,7 @@
                 yield result.Success(base.Compacted(self._compacted_revision))
                 return
             if next_revision > self._revision:
-                await self._wait_for_change()
+                await self._wait_for_change(max_wait_s)
                 self.expire_leases()
                 if next_revision > self._revision:
                     yield result.Success(base.Changes((), next_revision - 1))
@@ -268,17 +272,20 @@
         self._apply(tuple(base.Delete(key) for key in sorted(lease_state.keys)))
         del self._leases_by_id[lease]
 
-    async def _wait_for_change(self) -> None:
+    async def _wait_for_change(self, max_wait_s: float | None) -> None:
         """Wait for a change, a lease expiry or the progress interval."""
         now = self._clock()
+        interval_s = self._progress_interval_s
+        if max_wait_s is not None:
+            interval_s = min(interval_s, max_wait_s)
         wait_s = min(
             (
                 lease_state.expires_at - now
                 for lease_state in self._leases_by_id.values()
             ),
-            default=self._progress_interval_s,
+            default=interval_s,
         )
-        wait_s = max(MIN_WAIT_S, min(wait_s, self._progress_interval_s))
+        wait_s = max(MIN_WAIT_S, min(wait_s, interval_s))
         with anyio.move_on_after(wait_s):
             await self._changed.wait()
 
--- a/tests/matrix/simulation.py
+++ b/tests/matrix/simulation.py
@@ -182,9 +182,15 @@
         return await self._call("", lambda: self._inner.revoke_lease(lease))
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self,
+        prefix: str,
+        from_revision: int,
+        *,
+        max_wait_s: float | None = None,
     ) -> AsyncIterator[Any]:
-        async for response in self._inner.watch(prefix, from_revision):
+        async for response in self._inner.watch(
+            prefix, from_revision, max_wait_s=max_wait_s
+        ):
             await self._entry.wait()
             yield response
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -270,13 +270,13 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.discovery.run)
             await put(self.store, "op/config", CONFIG)
-            await self.wait(lambda: self.discovery.catalog.version == 7)
+            await self.wait(lambda: self.discovery.get_catalog().version == 7)
             await put(self.store, "op/config", {**CONFIG, "version": 6})
             await put(self.store, "op/config", {"version": "broken"})
             await anyio.sleep(0.3)
-            self.assertEqual(self.discovery.catalog.version, 7)
+            self.assertEqual(self.discovery.get_catalog().version, 7)
             await put(self.store, "op/config", {**CONFIG, "version": 9})
-            await self.wait(lambda: self.discovery.catalog.version == 9)
+            await self.wait(lambda: self.discovery.get_catalog().version == 9)
             tasks.cancel_scope.cancel()
 
     async def test_wait_until_loaded_is_bounded(self) -> None:
