Bound what is read of a server's endless response

Callers were held until their route's timeout, and a process's memory grew, when a server's response had no end: a refusal or an error without end held the caller although another endpoint could serve it, an event without end was buffered for as long as it came, and a response of the store or of a peer was read whole whatever its size.

Cause: readers of upstream bytes had a bound in time at most, and any byte restarted the idle timeout.

Each reader now has a bound: 256 KiB before the head of a response, 64 KiB and 0.2 s for a body that is not needed, 64 KiB for an event, 4 MiB for the output of an item, 8 MiB for a response that is read whole. Only whole events restart the idle timeout of a stream, and nothing restarts that of an error which will be retried. A head without end was bounded before, by h11.

The new tests play eleven endless responses, fast and slow; before, eight cases of the gateway, five of the batch items, both of the store and that of the event buffer failed. Not covered: the lines of event streams in the engine adapter of the product's own interface and of the etcd and endpoint slice clients, which httpx buffers without a bound.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -16,6 +16,8 @@
 # Time without data after which a run is abandoned. Must cover the wait for the
 # first event, which queues behind a few requests at the endpoint.
 IDLE_TIMEOUT_S: Final = 2.5
+# Bound on the output of one item.
+MAX_OUTPUT_BYTES: Final = 4_194_304
 OK: Final = 200
 UNPROCESSABLE: Final = 422
 INTERNAL_SERVER_ERROR_STATUS: Final = 500
@@ -143,19 +145,28 @@
     head = connection.head
     info = dialect.read_response_info(head, progress.item.id)
     if info.has_not_run:
-        await _discard_body(connection)
+        await connection.discard_body()
         return Outcome.NOT_RUN, f"status {head.status}"
     if head.status != OK or not info.is_signed:
-        await _discard_body(connection)
+        await connection.discard_body()
         if head.status == UNPROCESSABLE:
             return Outcome.IMPOSSIBLE, "status 422"
         if head.status == INTERNAL_SERVER_ERROR_STATUS:
             return Outcome.FAILED, "status 500"
         return Outcome.BROKEN, f"status {head.status}"
     splitter = events.Splitter()
+    size = 0
     async for part in connection.iterate():
-        reset_timeout(IDLE_TIMEOUT_S)
-        for event in splitter.feed(part):
+        size += len(part)
+        if size > MAX_OUTPUT_BYTES:
+            return Outcome.BROKEN, f"output exceeds {MAX_OUTPUT_BYTES} bytes"
+        try:
+            complete_events = splitter.feed(part)
+        except events.EventTooLargeError as error:
+            return Outcome.BROKEN, str(error)
+        if complete_events:
+            reset_timeout(IDLE_TIMEOUT_S)
+        for event in complete_events:
             if not _is_next_event(progress.last_event, event.id):
                 return Outcome.BROKEN, f"event {event.id} is out of order"
             progress.last_event = event.id or progress.last_event
@@ -176,11 +187,6 @@
     return int(event_id) == int(last_id) + 1
 
 
-async def _discard_body(connection: upstream.Connection) -> None:
-    async for _ in connection.iterate():
-        pass
-
-
 def compute_deadline(kept_until: float, wall_time: float) -> float:
     """Return the deadline of an item on the monotonic clock.
 
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -150,14 +150,14 @@
             with anyio.fail_after(wait_s + OWNER_TIMEOUT_S):
                 async with self._pool.use(member.relay_address) as connection:
                     await connection.start(request, lambda head: True)
-                    parts = [part async for part in connection.iterate()]
+                    answer = await connection.read_body()
                     status = connection.head.status
         except (upstream.ExchangeError, TimeoutError) as error:
             logs.log_message(
                 "owner unreachable", peer=member.name, reason=str(error)
             )
             return None
-        return b"".join(parts) if status == OK else None
+        return answer if status == OK else None
 
     async def read_results(
         self, job: records.Job, after: int, wait_until: float
--- a/eelgrassgate/gateway/config_sync.py
+++ b/eelgrassgate/gateway/config_sync.py
@@ -365,11 +365,11 @@
             with anyio.fail_after(FETCH_TIMEOUT_S):
                 async with self._pool.use(source.relay_address) as connection:
                     await connection.start(request, lambda head: True)
-                    parts = [part async for part in connection.iterate()]
+                    body = await connection.read_body(MAX_CONFIG_BYTES)
                     status = connection.head.status
             if status != OK:
                 raise upstream.ExchangeError(f"status {status}", True)
-            value = _decompress(b"".join(parts))
+            value = _decompress(body)
         except (upstream.ExchangeError, TimeoutError, zlib.error) as error:
             logs.log_message(
                 "config:fetch_failed", peer=source.name, reason=str(error)
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -300,7 +300,7 @@
         info = self._dialect.read_response_info(connection.head, call.id)
         if info.has_not_run:
             progress.is_in_flight = False
-            await _discard_body(connection)
+            await connection.discard_body()
             return Result.NOT_RUN
         progress.may_have_run = True
         status = connection.head.status
@@ -332,11 +332,18 @@
         parts: list[bytes] = []
         size = 0
         head = connection.head
+        has_attempts_left = progress.attempts + 1 < route.max_attempts
+        can_retry = head.status in SERVER_ERROR_STATUSES and has_attempts_left
         with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
             async for part in connection.iterate():
-                reset_timeout(idle_timeout_s)
+                if not can_retry:
+                    reset_timeout(idle_timeout_s)
                 parts.append(part)
                 size += len(part)
+                if size > MAX_BUFFERED_BYTES and can_retry:
+                    raise upstream.ExchangeError(
+                        f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
+                    )
                 if size > MAX_BUFFERED_BYTES and not responder.has_begun:
                     await self._begin_response(connection, responder)
                 if responder.has_begun:
@@ -347,8 +354,7 @@
             await responder.finish()
             return Result.DONE
         body = b"".join(parts)
-        has_attempts_left = progress.attempts + 1 < route.max_attempts
-        if head.status in SERVER_ERROR_STATUSES and has_attempts_left:
+        if can_retry:
             progress.failure = (head, body)
             return Result.LOST
         await responder.reply(
@@ -390,10 +396,13 @@
         splitter = events.Splitter()
         with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
             async for part in connection.iterate():
-                reset_timeout(idle_timeout_s)
-                complete_events = splitter.feed(part)
+                try:
+                    complete_events = splitter.feed(part)
+                except events.EventTooLargeError as error:
+                    raise upstream.ExchangeError(str(error), True) from error
                 if not complete_events:
                     continue
+                reset_timeout(idle_timeout_s)
                 if not responder.has_begun:
                     await responder.begin(
                         connection.head.status,
@@ -460,11 +469,6 @@
             )
 
 
-async def _discard_body(connection: upstream.Connection) -> None:
-    async for _ in connection.iterate():
-        pass
-
-
 def _record_result(progress: _Progress, result: Result) -> None:
     if result in {Result.NOT_RUN, Result.NOT_SENT}:
         progress.unexecuted_tries += 1
--- a/eelgrassgate/http1/events.py
+++ b/eelgrassgate/http1/events.py
@@ -8,6 +8,12 @@
 import msgspec
 
 _TERMINATOR: Final = b"\n\n"
+# Bound on one event, which holds a few tokens.
+MAX_EVENT_BYTES: Final = 65_536
+
+
+class EventTooLargeError(Exception):
+    """An event exceeds `MAX_EVENT_BYTES`, or the bytes are no events."""
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -32,8 +38,16 @@
         self._buffer = b""
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events that `data` completes."""
+        """Return the events that `data` completes.
+
+        Raises:
+            EventTooLargeError: An incomplete event exceeds its bound.
+        """
         *complete, self._buffer = (self._buffer + data).split(_TERMINATOR)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(
+                f"no end of an event within {MAX_EVENT_BYTES} bytes"
+            )
         return [_parse_event(part + _TERMINATOR) for part in complete]
 
     def has_partial_event(self) -> bool:
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate.http1 import sockets
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -23,6 +24,16 @@
 # Maximum number of idle connections per address, which serves only a few
 # concurrent requests.
 MAX_IDLE_PER_ADDRESS: Final = 16
+# Bound on what is read before the head of the response and dropped: interim
+# responses and late responses to earlier requests.
+MAX_SKIPPED_BYTES: Final = 262_144
+# Bounds on reading a body that is not needed. Reading it only saves a new
+# connection.
+MAX_DISCARDED_BYTES: Final = 65_536
+DISCARD_TIMEOUT_S: Final = 0.2
+# Bound on a response that is read as a whole; several of the largest values of
+# the key-value service.
+MAX_RESPONSE_BYTES: Final = 8_388_608
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -91,6 +102,7 @@
         self.on_receive: Callable[[], None] = _do_nothing
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
+        self._received_bytes = 0
         self.head = Head(0, ())
 
     async def start(
@@ -138,8 +150,9 @@
     async def _read_head(
         self, request: Request, is_expected: ResponseFilter
     ) -> None:
+        limit = self._received_bytes + MAX_SKIPPED_BYTES
         while True:
-            event = await self._next_event()
+            event = await self._next_event(limit)
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
@@ -147,11 +160,11 @@
             self.head = Head(event.status_code, tuple(event.headers))
             if is_expected(self.head):
                 return
-            await self._discard_response(request)
+            await self._discard_response(request, limit)
 
-    async def _discard_response(self, request: Request) -> None:
+    async def _discard_response(self, request: Request, limit: int) -> None:
         """Discard a response and prepare for the next on the connection."""
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
+        while not isinstance(await self._next_event(limit), h11.EndOfMessage):
             pass
         trailing_data, is_closed = self._http.trailing_data
         if is_closed:
@@ -174,15 +187,23 @@
         if trailing_data:
             self._http.receive_data(trailing_data)
 
-    async def _next_event(self) -> object:
+    async def _next_event(self, limit: int | None = None) -> object:
+        """Return the next event.
+
+        Args:
+            limit: Number of bytes that the connection may have received.
+        """
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            if limit is not None and self._received_bytes > limit:
+                raise h11.RemoteProtocolError("too many bytes and no response")
             try:
                 data = await self._stream.receive(READ_SIZE_BYTES)
             except anyio.EndOfStream:
                 data = b""
+            self._received_bytes += len(data)
             self.on_receive()
             self._http.receive_data(data)
 
@@ -205,6 +226,37 @@
             else:
                 raise ExchangeError("response is incomplete", True)
 
+    async def read_body(self, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            ExchangeError: The response is incomplete or too large.
+        """
+        parts: list[bytes] = []
+        size = 0
+        async for part in self.iterate():
+            size += len(part)
+            if size > max_bytes:
+                raise ExchangeError(f"body exceeds {max_bytes} bytes", True)
+            parts.append(part)
+        return b"".join(parts)
+
+    async def discard_body(self) -> None:
+        """Read the rest of a short response, so that its connection is reused.
+
+        The connection is not reused if the body is long, late or broken.
+        """
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            try:
+                await self.read_body(MAX_DISCARDED_BYTES)
+            except ExchangeError as error:
+                logs.log_message(
+                    "response body dropped",
+                    address=self.address,
+                    status=self.head.status,
+                    reason=str(error),
+                )
+
     def _finish_exchange(self) -> None:
         """Determine whether the connection can be reused."""
         is_done = self._http.our_state is h11.DONE
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -77,14 +77,14 @@
             with anyio.fail_after(CALL_TIMEOUT_S):
                 async with self._pool.use(self._address) as connection:
                     await connection.start(request, lambda head: True)
-                    parts = [part async for part in connection.iterate()]
+                    body = await connection.read_body()
                     status = connection.head.status
         except (upstream.ExchangeError, TimeoutError) as error:
             logs.log_message("relay:failed", reason=str(error))
             # Unlike 503, this leaves open whether the call took effect.
             await responder.reply(BAD_GATEWAY)
             return
-        await responder.reply(status, (), b"".join(parts))
+        await responder.reply(status, (), body)
 
 
 def create_relay(address: str) -> Relay:
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -497,8 +497,8 @@
             with anyio.fail_after(exchange.timeout_s):
                 async with self._pool.use(address) as connection:
                     await connection.start(exchange.request, _accept_any_head)
-                    parts = [part async for part in connection.iterate()]
-                    return connection.head.status, b"".join(parts)
+                    body = await connection.read_body()
+                    return connection.head.status, body
         except upstream.ExchangeError as error:
             is_unknown = exchange.is_write and error.was_sent
             raise _create_error(is_unknown, str(error)) from error
--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -32,6 +32,9 @@
         is_unsigned: Whether responses lack the checksum.
         has_late_response: Whether a late response to another request
             precedes the next response.
+        endless: Bytes to send first, and bytes to send then again and again
+            until the caller closes; None for complete responses.
+        endless_delay_s: Delay before each of the repeated bytes.
     """
 
     events: int = 4
@@ -42,6 +45,8 @@
     is_unresponsive: bool = False
     is_unsigned: bool = False
     has_late_response: bool = False
+    endless: tuple[bytes, bytes] | None = None
+    endless_delay_s: float = 0.0
 
 
 class Run(msgspec.Struct):
@@ -72,6 +77,8 @@
         behavior: How it responds.
         runs: The requests that ran.
         address: `host:port`, once it is served.
+        endless_calls: Number of endless responses being sent.
+        endless_bytes: Bytes of endless responses sent so far.
     """
 
     def __init__(self, name: str) -> None:
@@ -80,6 +87,8 @@
         self.behavior = Behavior()
         self.runs: list[Run] = []
         self.address = ""
+        self.endless_calls = 0
+        self.endless_bytes = 0
 
     async def serve(
         self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -109,6 +118,9 @@
         if behavior.is_overloaded:
             await responder.reply(UNAVAILABLE_STATUS, [(b"not-executed", b"1")])
             return
+        if behavior.endless is not None:
+            await self._send_endless(*behavior.endless, responder)
+            return
         first = int(incoming.get(b"last-event-id") or b"0") + 1
         run = Run(incoming, first, behavior.status)
         self.runs.append(run)
@@ -141,6 +153,24 @@
         await responder.finish()
         run.is_ended = True
 
+    async def _send_endless(
+        self, start: bytes, repeated: bytes, responder: downstream.Responder
+    ) -> None:
+        """Send bytes until the caller closes its connection.
+
+        Raises:
+            downstream.ClientDisconnectedError: The caller closed it.
+        """
+        self.endless_calls += 1
+        try:
+            await responder.send_raw(start)
+            while True:
+                await responder.send_raw(repeated)
+                self.endless_bytes += len(repeated)
+                await anyio.sleep(self.behavior.endless_delay_s)
+        finally:
+            self.endless_calls -= 1
+
 
 def write_event(number: int) -> bytes:
     """Return the encoded event `number`."""
--- /dev/null
+++ b/tests/test_endless_responses.py
@@ -0,0 +1,222 @@
+"""Servers whose responses never end until their caller closes."""
+
+import contextlib
+from typing import Final
+import unittest
+
+import anyio
+import msgspec
+
+from eelgrassgate.batches import items
+from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import catalog
+from eelgrassgate.http1 import events
+from eelgrassgate.http1 import upstream
+from eelgrassgate.platform import dialect
+from eelgrassgate.platform import kv
+from eelgrassgate.standins import endpoint
+from tests import site as site_lib
+
+TIMEOUT_S: Final = 10.0
+# The route's timeout is 5 s; a caller must not be held until then.
+MAX_ANSWER_S: Final = 3.0
+MAX_CLOSE_S: Final = 1.0
+PADDING: Final = b"x" * 4096
+SIGNED_HEAD: Final = (
+    b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: 1\r\n\r\n"
+)
+
+
+class Case(msgspec.Struct, frozen=True):
+    """An endless response of one of two endpoints; the other is sound."""
+
+    name: str
+    path: str
+    start: bytes
+    repeated: bytes
+    status: int = 200
+
+
+CASES: Final = (
+    Case(
+        "interim responses",
+        "/plain/a",
+        b"",
+        b"HTTP/1.1 102 Processing\r\n\r\n" * 100,
+    ),
+    Case("a head without end", "/plain/a", b"HTTP/1.1 200 OK\r\nx: ", PADDING),
+    Case("many headers", "/plain/a", b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 500),
+    Case("no HTTP", "/plain/a", b"", PADDING),
+    Case(
+        "a late response without end",
+        "/plain/a",
+        b"HTTP/1.1 200 OK\r\nrequest-id: another\r\n\r\n",
+        PADDING,
+    ),
+    Case(
+        "a refusal without end",
+        "/plain/a",
+        b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\n\r\n",
+        PADDING,
+    ),
+    Case(
+        "a refusal without end, not idempotent",
+        "/twice/a",
+        b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\n\r\n",
+        PADDING,
+    ),
+    Case(
+        "an error without end",
+        "/plain/a",
+        b"HTTP/1.1 500 Error\r\nrequest-id: r1\r\n\r\n",
+        PADDING,
+    ),
+    Case(
+        "an event without end",
+        "/resumable/a",
+        SIGNED_HEAD + b"id: 1\ndata: ",
+        PADDING,
+    ),
+    Case(
+        "no checksum and no end",
+        "/plain/a",
+        b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\n\r\n",
+        PADDING,
+    ),
+    Case(
+        "a head without end, not idempotent",
+        "/twice/a",
+        b"HTTP/1.1 200 OK\r\nx: ",
+        PADDING,
+        502,
+    ),
+)
+# Fast enough to exceed a bound of bytes, and too slow for that.
+DELAYS_S: Final = (0.0, 0.3)
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def test_callers_are_held_by_endless_responses(self) -> None:
+        for case in CASES:
+            for delay_s in DELAYS_S:
+                with self.subTest(case.name, delay_s=delay_s):
+                    await self.run_case(case, delay_s)
+
+    async def run_case(self, case: Case, delay_s: float) -> None:
+        async with site_lib.open_site() as site:
+            first, second = site.endpoints
+            site.loads.set_peer_counts("other", {second.name: 4}, {})
+            first.behavior = endpoint.Behavior(
+                endless=(case.start, case.repeated), endless_delay_s=delay_s
+            )
+            response = site_lib.Response()
+            with anyio.move_on_after(MAX_ANSWER_S):
+                response = await site_lib.call(site.address, case.path)
+            self.assertEqual(response.status, case.status)
+            self.assertTrue(response.is_complete)
+            if case.status == 200:
+                self.assertEqual(response.body, endpoint.write_stream(4))
+            with anyio.move_on_after(MAX_CLOSE_S):
+                while first.endless_calls:
+                    await anyio.sleep(0.01)
+            self.assertEqual(first.endless_calls, 0)
+
+
+@contextlib.asynccontextmanager
+async def serve_endless(start: bytes, repeated: bytes, delay_s: float):  # type: ignore[no-untyped-def]
+    server = endpoint.create_endpoint("e")
+    server.behavior = endpoint.Behavior(
+        endless=(start, repeated), endless_delay_s=delay_s
+    )
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(server.serve)
+        yield server
+        tasks.cancel_scope.cancel()
+
+
+class ReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_items_are_held_by_endless_responses(self) -> None:
+        for name, start, repeated, outcome in (
+            (
+                "a refusal",
+                b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\n\r\n",
+                PADDING,
+                items.Outcome.NOT_RUN,
+            ),
+            (
+                "an item that can't be done",
+                b"HTTP/1.1 422 No\r\nresponse-signature: 1\r\n\r\n",
+                PADDING,
+                items.Outcome.IMPOSSIBLE,
+            ),
+            (
+                "an event",
+                SIGNED_HEAD + b"id: 1\ndata: ",
+                PADDING,
+                items.Outcome.BROKEN,
+            ),
+            (
+                "events without ids",
+                SIGNED_HEAD,
+                b"data: " + PADDING * 15 + b"\n\n",
+                items.Outcome.BROKEN,
+            ),
+            ("a head", b"HTTP/1.1 200 OK\r\n", PADDING, items.Outcome.BROKEN),
+        ):
+            for delay_s in DELAYS_S:
+                if delay_s and name == "events without ids":
+                    # Whole events in time are an output as long as they come.
+                    continue
+                with self.subTest(name, delay_s=delay_s):
+                    found = await self.run_item(start, repeated, delay_s)
+                    self.assertEqual(found, outcome)
+
+    async def run_item(
+        self, start: bytes, repeated: bytes, delay_s: float
+    ) -> items.Outcome | None:
+        pool = upstream.create_pool(1.0)
+        item = calls.BatchItem("r1", "/batch/1", {}, b"question", 10)
+        found: items.Outcome | None = None
+        async with serve_endless(start, repeated, delay_s) as server:
+            with anyio.move_on_after(items.IDLE_TIMEOUT_S + MAX_CLOSE_S):
+                found, _ = await items.run(
+                    pool,
+                    dialect.PlatformDialect(),
+                    catalog.Endpoint("e", "engine", server.address, "z1", 8),
+                    "desk.example",
+                    "desk",
+                    anyio.current_time() + 60.0,
+                    items.Progress(item),
+                    lambda: None,
+                )
+            with anyio.move_on_after(MAX_CLOSE_S):
+                while server.endless_calls:
+                    await anyio.sleep(0.01)
+            self.assertEqual(server.endless_calls, 0)
+        await pool.close()
+        return found
+
+    async def test_store_calls_read_endless_responses(self) -> None:
+        for name, start in (
+            ("a body", b"HTTP/1.1 200 OK\r\n\r\n"),
+            ("a head", b"HTTP/1.1 200 OK\r\nx: "),
+        ):
+            with self.subTest(name):
+                async with serve_endless(start, PADDING * 16, 0.0) as server:
+                    store = kv.create_kv_store(server.address)
+                    with anyio.fail_after(TIMEOUT_S):
+                        (await store.read("a")).failure()
+                        while server.endless_calls:
+                            await anyio.sleep(0.01)
+                    # Socket buffers hold what was not read.
+                    self.assertLess(
+                        server.endless_bytes,
+                        upstream.MAX_RESPONSE_BYTES + 16_000_000,
+                    )
+                    await store.close()
+
+    def test_event_buffer_grows_without_bound(self) -> None:
+        splitter = events.Splitter()
+        with self.assertRaises(events.EventTooLargeError):
+            for _ in range(events.MAX_EVENT_BYTES // len(PADDING) + 1):
+                splitter.feed(PADDING)
