Try the next relay after 0.25 s, and leave one that lost the store

A process that the store turned away silently could wait for 2 s at each relay that had been turned away too, one after the other, and for 2.5 s in a watch through such a relay.

Cause: a relay was believed to reach the store until a whole timeout had passed, even when its own reports said otherwise.

Calls now start at the next relay after the hedging delay that direct calls already have. A watch through a relay ends when the relay is no longer listed as reaching the store. Both new tests failed before.

--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -2,7 +2,10 @@
 
 import base64
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
+import math
 from typing import Any
 from typing import Final
 from typing import TypeVar
@@ -13,6 +16,7 @@
 from returns import result
 
 from eelgrassgate import deadlines
+from eelgrassgate import hedging
 from eelgrassgate import logs
 from eelgrassgate.http1 import upstream
 from eelgrassgate.store import base
@@ -27,8 +31,8 @@
 LONG_POLL_S: Final = 10.0
 # How long after the end of a long poll its response may still arrive.
 LONG_POLL_GRACE_S: Final = 3.0
-# Long polls through a relay are shorter, as they do not notice when the relay
-# loses the service, and configuration changes must arrive within 3 s.
+# Long polls through a relay are shorter, as a relay that loses the service
+# reports so only a little later.
 RELAYED_LONG_POLL_S: Final = 1.5
 RELAYED_LONG_POLL_GRACE_S: Final = 1.0
 
@@ -49,6 +53,8 @@
 HEDGING_DELAY_S: Final = 0.25
 # Relays to try for one call; the nearest ones may have lost the service too.
 MAX_RELAY_ATTEMPTS: Final = 4
+# How often a long poll checks that its relay still reaches the service.
+RELAY_CHECK_INTERVAL_S: Final = 0.1
 # How long a relay is not used after it failed.
 RELAY_COOLDOWN_S: Final = 2.0
 # After a direct call failed, calls go through relays only for this long.
@@ -71,6 +77,10 @@
     is_write: bool
     timeout_s: float
 
+    def is_long_poll(self) -> bool:
+        """Return whether the response may take longer than that of a call."""
+        return self.timeout_s > CALL_TIMEOUT_S
+
 
 class _Item(msgspec.Struct, frozen=True):
     """A key-value pair; `value` is base64-encoded."""
@@ -328,7 +338,7 @@
         relays = self._list_relays()
         if relays and not deadlines.is_past(self._direct_retry_at):
             return await self._call_relays(exchange, relays)
-        if timeout_s > CALL_TIMEOUT_S:
+        if exchange.is_long_poll():
             # A long poll can be aborted even if no relay is known yet: one may
             # be known by the time the service becomes unreachable.
             return await self._long_poll_directly(exchange)
@@ -353,12 +363,22 @@
         Raises:
             _CallError: All relays failed.
         """
+        responses: list[_Response] = []
         failures: list[_CallError] = []
-        for relay in relays:
+
+        async def call(relay: str) -> bool:
             try:
-                return await self._call_relay(exchange, relay)
+                responses.append(await self._call_relay(exchange, relay))
             except _CallError as error:
                 failures.append(error)
+                return False
+            return True
+
+        # Only a long poll may get no response for longer than the delay.
+        delay_s = math.inf if exchange.is_long_poll() else HEDGING_DELAY_S
+        calls = [functools.partial(call, relay) for relay in relays]
+        if await hedging.run_hedged(calls, delay_s):
+            return responses[0]
         raise _choose_failure(failures)
 
     async def _call_relay(self, exchange: _Exchange, relay: str) -> _Response:
@@ -367,8 +387,15 @@
         Raises:
             _CallError: There was no usable response.
         """
+        started_at = deadlines.now()
         try:
-            status, body = await self._send(relay, exchange)
+            if exchange.is_long_poll():
+                status, body = await self._run_until_lost(
+                    lambda: self._send(relay, exchange),
+                    lambda: self._wait_until_unlisted(relay),
+                )
+            else:
+                status, body = await self._send(relay, exchange)
             if (
                 status >= MIN_SERVER_ERROR_STATUS
                 or status in OVERLOADED_STATUSES
@@ -383,12 +410,24 @@
             logs.log_message(
                 "relay:failed", relay=relay, reason=error.error.message
             )
-            self._failed_until_by_relay[relay] = deadlines.after(
-                RELAY_COOLDOWN_S
-            )
+            self._avoid_relay(relay)
+            raise
+        except anyio.get_cancelled_exc_class():
+            # Another path responded first.
+            is_late = deadlines.is_past(started_at + HEDGING_DELAY_S)
+            if is_late and not exchange.is_long_poll():
+                self._avoid_relay(relay)
             raise
         return status, body
 
+    def _avoid_relay(self, relay: str) -> None:
+        self._failed_until_by_relay[relay] = deadlines.after(RELAY_COOLDOWN_S)
+
+    async def _wait_until_unlisted(self, relay: str) -> None:
+        """Wait until a relay reports no longer that it reaches the service."""
+        while relay in self._get_relays():
+            await anyio.sleep(RELAY_CHECK_INTERVAL_S)
+
     async def _call_directly(self, exchange: _Exchange) -> _Response:
         """Call the service directly and record whether it responds.
 
@@ -408,24 +447,38 @@
     async def _long_poll_directly(self, exchange: _Exchange) -> _Response:
         """Run a long poll; abort it when the service becomes unreachable.
 
+        Raises:
+            _CallError: There was no response.
+        """
+        return await self._run_until_lost(
+            lambda: self._call_directly(exchange), self._direct_lost.wait
+        )
+
+    async def _run_until_lost(
+        self,
+        call: Callable[[], Awaitable[_Response]],
+        wait_until_lost: Callable[[], Awaitable[None]],
+    ) -> _Response:
+        """Run a call; abort it when its path is known to be lost.
+
         Raises:
             _CallError: There was no response.
         """
         found: list[_Response | _CallError] = []
 
-        async def wait() -> None:
+        async def run() -> None:
             try:
-                found.append(await self._call_directly(exchange))
+                found.append(await call())
             except _CallError as error:
                 found.append(error)
             tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(wait)
-            await self._direct_lost.wait()
+            tasks.start_soon(run)
+            await wait_until_lost()
             tasks.cancel_scope.cancel()
         if not found:
-            raise _create_error(False, "the service is not reachable directly")
+            raise _create_error(False, "the service is not reachable this way")
         if isinstance(found[0], _CallError):
             raise found[0]
         return found[0]
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -3,11 +3,13 @@
 from collections.abc import AsyncIterator
 import contextlib
 import functools
+import math
 from typing import Any
 from typing import Final
 import unittest
 
 import anyio
+from anyio import abc
 import msgspec
 from starlette import applications
 from starlette import requests
@@ -390,6 +392,62 @@
                     tasks.cancel_scope.cancel()
                 await store.close()
 
+    async def test_calls_wait_for_silent_relays_in_turn(self) -> None:
+        async with open_relay() as setup, open_silent_server() as silent:
+            # Two more addresses of the same server.
+            relays = (silent, silent.replace("127.0.0.1", "127.0.0.2"))
+            store = kv.create_kv_store(UNUSED_ADDRESS)
+            store.set_relays(lambda: (*relays, setup.relay_address))
+            with anyio.move_on_after(1.0) as scope:
+                (await store.read("a")).unwrap()
+            await store.close()
+        self.assertFalse(scope.cancelled_caught)
+
+    async def test_watch_stays_with_a_relay_that_lost_the_store(self) -> None:
+        async with open_relay() as setup, open_silent_server() as silent:
+            relays = [silent]
+            (await setup.backend.commit(WRITE)).unwrap()
+            store = kv.create_kv_store(UNUSED_ADDRESS)
+            store.set_relays(lambda: tuple(relays))
+            watch: Any = store.watch("a", 1)
+            (await store.read_range("a")).failure()
+            relays[:] = [silent, setup.relay_address]
+            store._failed_until_by_relay.clear()
+            store._direct_retry_at = math.inf
+            async with anyio.create_task_group() as tasks:
+                found: list[Any] = []
+
+                async def step() -> None:
+                    found.append(await anext(watch))
+
+                tasks.start_soon(step)
+                await anyio.sleep(0.2)
+                # Its reports say that it reaches the store no longer.
+                relays.remove(silent)
+                with anyio.move_on_after(1.0):
+                    while not found:
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            await store.close()
+        self.assertEqual(len(found), 1)
+
+
+@contextlib.asynccontextmanager
+async def open_silent_server() -> AsyncIterator[str]:
+    """Yield the address of a server that accepts and never responds."""
+
+    async def ignore(stream: abc.SocketStream) -> None:
+        await anyio.sleep_forever()
+
+    async with (
+        await anyio.create_tcp_listener(local_port=0) as listener,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(listener.serve, ignore)
+        port = listener.extra(abc.SocketAttribute.local_port)
+        yield f"127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
+
 
 class WatchTest(unittest.IsolatedAsyncioTestCase):
     async def test_change_skipped_by_an_empty_response(self) -> None:
