Let processes take over watching the configuration one by one

Cause: an answer with a change was counted as a confirmation of the time at which its watch began, up to 1.25 s too early, and all processes had the same limit of age.

A change now confirms when it arrives, as the store answers at once, and each process waits 0.25 s longer than the one ranked before it.

--- a/eelgrassgate/gateway/config_sync.py
+++ b/eelgrassgate/gateway/config_sync.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
+import functools
 import random
 from typing import Any
 from typing import Final
@@ -20,6 +21,7 @@
 import xxhash
 
 from eelgrassgate import deadlines
+from eelgrassgate import hedging
 from eelgrassgate import logs
 from eelgrassgate.gateway import catalog as catalog_lib
 from eelgrassgate.http1 import downstream
@@ -36,6 +38,10 @@
 # A process whose configuration has not been confirmed for this long watches the
 # store itself. Covers one watch and the interval of two reports.
 MAX_CONFIRMATION_AGE_S: Final = 2.0
+# Added for each process of the region that does so before this one, as their
+# watches may confirm the configuration of all others.
+TAKEOVER_INTERVAL_S: Final = 0.25
+MAX_TAKEOVER_DELAY_S: Final = 2.0
 # Assumed for the time that a report travels; a third of it between regions.
 REPORT_TRANSIT_S: Final = 0.1
 # A watch starts at a confirmed revision only while the store surely keeps the
@@ -154,22 +160,25 @@
     def is_watcher(self) -> bool:
         """Return whether this process watches the store.
 
-        These are the first of the region's processes that reach the store by a
-        hash of their names, and each that has not heard a confirmation lately.
+        The watchers are the first of the region's processes that reach the
+        store, by a hash of their names. The others follow one by one while no
+        confirmation arrives.
         """
         if not self.catalog.version or self._own is None:
             return True
-        if self.get_age_s() > MAX_CONFIRMATION_AGE_S:
-            return True
-        names = [
-            member.name
+        own_rank = _hash_name(self._own.name)
+        peers = [
+            peer
             for member, peer in self._peers.get_peers().items()
-            if member.region == self._own.region and peer.report.has_store
+            if member.region == self._own.region
+            and _hash_name(member.name) < own_rank
         ]
         if self._has_store():
-            names.append(self._own.name)
-        names.sort(key=_hash_name)
-        return not names or self._own.name in names[:WATCHERS_PER_REGION]
+            ahead = sum(one.report.has_store for one in peers)
+            if ahead < WATCHERS_PER_REGION:
+                return True
+        delay_s = min(MAX_TAKEOVER_DELAY_S, TAKEOVER_INTERVAL_S * len(peers))
+        return self.get_age_s() > MAX_CONFIRMATION_AGE_S + delay_s
 
     async def run(self) -> None:
         """Keep the configuration current until cancelled."""
@@ -233,12 +242,14 @@
             changes: The answer.
             previous: Revision of the answer before.
         """
+        now = deadlines.now()
         if changes.changes:
-            self._confirmation = Confirmation(started_at, changes.revision)
+            # The store answers as soon as there is a change.
+            self._confirmation = Confirmation(now, changes.revision)
             return
-        # Without changes the store answers only after the whole wait.
-        held_until = started_at + MAX_WATCH_WAIT_S
-        at = held_until if deadlines.is_past(held_until) else started_at
+        # Without changes it answers after the whole wait, and the answer may
+        # have been delayed since.
+        at = min(now, started_at + MAX_WATCH_WAIT_S)
         self._confirmation = Confirmation(at, previous)
 
     async def _find_start(self) -> int | None:
@@ -336,29 +347,16 @@
         return source.region == self._own.region and not self.is_watcher()
 
     async def _fetch_first(self, sources: list[registry.Member]) -> bool:
-        """Fetch from the first source that responds; return whether one did.
+        """Fetch from the first source that responds; return whether one did."""
+        calls = [
+            functools.partial(self._fetch, source)
+            for source in sources[:MAX_SOURCES]
+        ]
+        return await hedging.run_hedged(calls, HEDGING_DELAY_S)
 
-        Another source is tried after the hedging delay or a failure.
-        """
+    async def _fetch(self, source: registry.Member) -> bool:
+        """Fetch from a peer; return whether a newer version was applied."""
         before = self.catalog.version
-
-        async def fetch(
-            source: registry.Member, has_ended: anyio.Event
-        ) -> None:
-            await self._fetch(source)
-            has_ended.set()
-            if self.catalog.version > before:
-                tasks.cancel_scope.cancel()
-
-        async with anyio.create_task_group() as tasks:
-            for source in sources[:MAX_SOURCES]:
-                has_ended = anyio.Event()
-                tasks.start_soon(fetch, source, has_ended)
-                with anyio.move_on_after(HEDGING_DELAY_S):
-                    await has_ended.wait()
-        return self.catalog.version > before
-
-    async def _fetch(self, source: registry.Member) -> None:
         headers = ((b"host", source.relay_address.encode()),)
         request = upstream.Request(b"GET", relay.CONFIG_PATH, headers, b"")
         try:
@@ -374,8 +372,9 @@
             logs.log_message(
                 "config:fetch_failed", peer=source.name, reason=str(error)
             )
-            return
+            return False
         self._apply(value, source.name)
+        return self.catalog.version > before
 
     async def handle(
         self,
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -301,6 +301,7 @@
             ("ranked last", [*ahead, *behind], True, False),
             ("one ranked before", [ahead[0], *behind], True, True),
             ("no peer reaches the store", ahead, False, True),
+            ("many are ranked before", pool, True, False),
         ):
             with self.subTest(name):
                 peers = _FakePeers(
@@ -334,6 +335,47 @@
                     age_s,
                 )
 
+    async def test_processes_take_over_one_by_one(self) -> None:
+        """Changes for all at once would fill the link between regions."""
+        own_rank = config_sync._hash_name("own")
+        pool = [f"peer-{number}" for number in range(64)]
+        ahead = [one for one in pool if config_sync._hash_name(one) < own_rank]
+        for count in (0, 1, 2, 3, len(ahead)):
+            peers = _FakePeers(
+                {
+                    make_member(one): reports.ConfigStatus(5)
+                    for one in ahead[:count]
+                }
+            )
+            sync = await self.load(peers)
+            turn_s = config_sync.MAX_CONFIRMATION_AGE_S + min(
+                config_sync.MAX_TAKEOVER_DELAY_S,
+                count * config_sync.TAKEOVER_INTERVAL_S,
+            )
+            for age_s, is_watcher in (
+                (turn_s - 0.1, count < config_sync.WATCHERS_PER_REGION),
+                (turn_s + 0.1, True),
+            ):
+                with self.subTest(count=count, age_s=age_s):
+                    at = deadlines.now() - age_s
+                    sync._confirmation = config_sync.Confirmation(at, 1)
+                    self.assertEqual(sync.is_watcher(), is_watcher)
+
+    async def test_answers_confirm_the_configuration(self) -> None:
+        now = deadlines.now()
+        some = (base.Change("op/config", b"{}", 9),)
+        for name, started_at, changes, expected in (
+            ("a change counts at once", now - 1.0, some, (now, 9)),
+            ("an empty answer in time", now - 1.25, (), (now, 4)),
+            ("a delayed empty answer", now - 5.0, (), (now - 3.75, 4)),
+        ):
+            with self.subTest(name):
+                sync = await self.load(_FakePeers({}))
+                sync._confirm(started_at, base.Changes(changes, 9), 4)
+                found = sync.get_confirmation()
+                self.assertAlmostEqual(found.at, expected[0], delta=0.2)
+                self.assertEqual(found.revision, expected[1])
+
     async def test_older_and_invalid_configurations_of_peers_are_ignored(
         self,
     ) -> None:
