--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -43,6 +43,7 @@
         due: Wall-clock time in seconds by which the job should complete.
         kept_until: Wall-clock time in seconds after which items that have not
             ended become dead letters.
+        config_version: Version of the configuration by which it was accepted.
     """
 
     id: str
@@ -53,6 +54,7 @@
     parts: int
     due: float
     kept_until: float
+    config_version: int = 0
 
 
 class Head(msgspec.Struct, frozen=True):
--- a/eelgrassgate/batches/submission.py
+++ b/eelgrassgate/batches/submission.py
@@ -53,8 +53,18 @@
     route: catalog.Route,
     workspace: str,
     items: tuple[calls.BatchItem, ...],
+    config_version: int,
 ) -> SubmitResult:
-    """Store a job and open it; repeating a submission is also `DONE`."""
+    """Store a job and open it; repeating a submission is also `DONE`.
+
+    Args:
+        store: The store.
+        call: The request that submits the job.
+        route: The route of the request.
+        workspace: The workspace that owns the job.
+        items: The job's items.
+        config_version: Version of the configuration that has the route.
+    """
     now = time.time()
     parts = records.split_items(items)
     job = records.Job(
@@ -66,6 +76,7 @@
         len(parts),
         now + route.completion_s,
         now + route.retention_s,
+        config_version,
     )
     key = f"{records.JOBS}{records.quote(call.id)}"
     changes = [
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -98,6 +98,7 @@
         call: calls.Call,
         route: catalog.Route,
         workspace: str,
+        config_version: int,
         responder: downstream.Responder,
     ) -> None:
         """Accept a job; replies once all of it is in the store."""
@@ -106,7 +107,7 @@
             await responder.reply(BAD_REQUEST)
             return
         accepted = await submission.submit(
-            self._store, call, route, workspace, items
+            self._store, call, route, workspace, items, config_version
         )
         logs.log_message(
             "job submitted",
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -108,7 +108,9 @@
             return
         assert route is not None
         if route.kind is catalog.Kind.BATCH:
-            await self._batches.submit(call, route, workspace, responder)
+            await self._batches.submit(
+                call, route, workspace, current.version, responder
+            )
             return
         await self._forward(call, route, workspace, responder)
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -68,10 +68,13 @@
 
 
 async def submit(
-    store: base.Store, count: int = 3, workspace: str = site_lib.WORKSPACE
+    store: base.Store,
+    count: int = 3,
+    workspace: str = site_lib.WORKSPACE,
+    config_version: int = 1,
 ) -> submission.Outcome:
     accepted = await submission.submit(
-        store, make_call(), ROUTE, workspace, make_items(count)
+        store, make_call(), ROUTE, workspace, make_items(count), config_version
     )
     return accepted.outcome
 
@@ -111,7 +114,7 @@
             for number in range(7)
         )
         accepted = await submission.submit(
-            store, make_call(), ROUTE, site_lib.WORKSPACE, large
+            store, make_call(), ROUTE, site_lib.WORKSPACE, large, 1
         )
         self.assertEqual(accepted.outcome, submission.Outcome.DONE)
         record = (await store.read(f"{records.JOBS}{JOB}")).unwrap()
@@ -298,6 +301,7 @@
 
     def __init__(self) -> None:
         self.store = make_store()
+        self.catalog = site_lib.make_catalog()
         self.endpoints = [endpoint.create_endpoint(name) for name in "ef"]
         self.loads = loads.create_loads()
         self.placement = placement_lib.create_placement(
@@ -332,7 +336,7 @@
             self.pool,
             self.placement,
             self.loads,
-            site_lib.make_catalog,
+            lambda: self.catalog,
             metrics_lib.create_metrics(),
         )
         self.reader = make_reader(self.store)
@@ -412,6 +416,27 @@
                             (result.state, result.text), (state, text)
                         )
 
+    async def test_items_of_an_added_route_become_dead_letters(self) -> None:
+        async with open_harness() as harness:
+            harness.catalog = site_lib.make_catalog(
+                [one for one in site_lib.ROUTES if one.prefix != "/batch/"]
+            )
+            await submit(harness.store, 2, config_version=2)
+            await anyio.sleep(0.5)
+            harness.catalog = site_lib.make_catalog(version=2)
+            found = await harness.read_all()
+            self.assertEqual(
+                [one.state for one in found.values()], [records.COMPLETED] * 2
+            )
+
+    async def test_items_of_a_moved_route_run_at_the_old_service(self) -> None:
+        async with open_harness() as harness:
+            await submit(harness.store, 2, config_version=2)
+            await anyio.sleep(0.5)
+            self.assertEqual(sum(len(e.runs) for e in harness.endpoints), 0)
+            harness.catalog = site_lib.make_catalog(version=2)
+            await harness.read_all()
+
     async def test_a_failing_item_is_tried_max_attempts_times(self) -> None:
         async with open_harness() as harness:
             for one in harness.endpoints:
