Apply a route's timeout to the submission of its jobs, from the request's arrival

A caller that submitted a job while the store was slow or silent was held until its own deadline, past the timeout of the job's route. A caller that came before the first configuration was loaded was held past the timeout of its route by as long as the load took.

Cause: only forwarded requests had the route's timeout, and it was counted from the moment at which they were forwarded.

The deadline of a request is now the earlier of the caller's and its arrival plus the timeout, for each kind of route.

--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -22,7 +22,8 @@
         headers: The headers to forward, without hop-by-hop headers, the API
             key and headers that the gateway sets itself.
         body: The request body.
-        deadline: Monotonic time at which the caller stops waiting.
+        deadline: Monotonic time by which to respond: the caller stops waiting,
+            or the route's timeout passes.
     """
 
     id: str
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -114,20 +114,17 @@
         workspace: str,
         responder: downstream.Responder,
     ) -> None:
-        """Respond to a call within its deadline and its route's timeout.
+        """Respond to a call within its deadline.
 
         Raises:
             IncompleteResponseError: The response broke off; the connection
                 must be closed.
             downstream.ClientDisconnectedError: The caller disconnected.
         """
-        deadline = call.deadline
-        if route.timeout_s:
-            deadline = min(deadline, deadlines.after(route.timeout_s))
         progress = _Progress()
-        with anyio.move_on_after(deadlines.compute_remaining(deadline)):
+        with anyio.move_on_after(deadlines.compute_remaining(call.deadline)):
             await self._forward_with_retries(
-                call, route, workspace, responder, deadline, progress
+                call, route, workspace, responder, progress
             )
             return
         if responder.has_begun:
@@ -140,7 +137,6 @@
         route: catalog.Route,
         workspace: str,
         responder: downstream.Responder,
-        deadline: float,
         progress: _Progress,
     ) -> None:
         """Try endpoints until one responds or no retry is allowed."""
@@ -165,7 +161,10 @@
                 await self._refuse(call, choice, retry_after_s, responder)
                 return
             attempt = calls.Attempt(
-                choice.endpoint.id, workspace, deadline, progress.last_event
+                choice.endpoint.id,
+                workspace,
+                call.deadline,
+                progress.last_event,
             )
             outcome = await self._run_attempt(
                 call, route, choice.endpoint, attempt, responder, progress
@@ -173,7 +172,7 @@
             if outcome is Result.DONE:
                 return
             excluded.add(choice.endpoint.id)
-            if not _can_retry(route, outcome, progress, deadline):
+            if not _can_retry(route, outcome, progress, call.deadline):
                 await self._reply_failure(
                     call, progress, responder, outcome.value
                 )
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -5,6 +5,8 @@
 import traceback
 from typing import Final
 
+import msgspec
+
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.gateway import batch_calls
@@ -107,6 +109,11 @@
             )
             return
         assert route is not None
+        if route.timeout_s:
+            times_out_at = incoming.received_at + route.timeout_s
+            call = msgspec.structs.replace(
+                call, deadline=min(call.deadline, times_out_at)
+            )
         if route.kind is catalog.Kind.BATCH:
             await self._batches.submit(
                 call, route, workspace, current.version, responder
--- a/tests/site.py
+++ b/tests/site.py
@@ -9,6 +9,7 @@
 import anyio
 import h11
 
+from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import forwarding
 from eelgrassgate.gateway import metrics as metrics_lib
@@ -22,6 +23,8 @@
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import dialect
 from eelgrassgate.standins import endpoint
+from eelgrassgate.store import base
+from eelgrassgate.store import memory
 
 HOST: Final = "desk.example"
 KEY: Final = "key-1"
@@ -154,11 +157,27 @@
 
 
 class BatchCallsStub:
-    """Stub of the batch job API that only parses calls."""
+    """Stub of the batch job API that parses calls and accepts jobs.
+
+    Attributes:
+        submissions: The store that holds accepted jobs.
+    """
+
+    def __init__(self) -> None:
+        self.submissions: base.Store = memory.create_memory_store()
 
     def read_job_call(self, call: Any) -> Any:
         return platform_batch_calls.PlatformBatchDialect().read_job_call(call)
 
+    async def submit(self, *args: Any) -> None:
+        reader: Any = None
+        await batch_calls.create_batch_calls(
+            self.submissions,
+            reader,
+            dialect.PlatformDialect(),
+            platform_batch_calls.PlatformBatchDialect(),
+        ).submit(*args)
+
 
 class Site:
     """Endpoints behind the request handling of a gateway."""
@@ -183,7 +202,8 @@
         self.listener = downstream.Listener(
             lambda: self.catalog.limits, self._handle, lambda: False
         )
-        batches: Any = BatchCallsStub()
+        self.batches = BatchCallsStub()
+        batches: Any = self.batches
         self.service = service_lib.create_service(
             lambda: self.catalog,
             self.wait_until_loaded,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,10 +10,25 @@
 
 from eelgrassgate.gateway import catalog
 from eelgrassgate.standins import endpoint
+from eelgrassgate.store import faulty
+from eelgrassgate.store import memory
 from tests import site as site_lib
 
 TIMING_TOLERANCE_S: Final = 0.5
 COMPLETE_BODY: Final = endpoint.write_stream(4)
+BATCH_BODY: Final = msgspec.json.encode(
+    {
+        "items": [
+            {
+                "id": "i1",
+                "path": "/batch/1",
+                "headers": {},
+                "body": "",
+                "tokens": 1,
+            }
+        ]
+    }
+)
 
 
 class Case(msgspec.Struct, frozen=True):
@@ -140,6 +155,50 @@
                 time.monotonic() - started_at, 0.4 + TIMING_TOLERANCE_S
             )
 
+    async def test_timeout_of_a_route_is_not_applied_to_its_jobs(
+        self,
+    ) -> None:
+        route = site_lib.make_route(
+            "/batch/", catalog.Kind.BATCH, timeout_s=0.4
+        )
+        store = faulty.create_faulty_store(memory.create_memory_store())
+        # Longer than the timeout and than the caller's patience.
+        store.faults.delay_s = 8.0
+        async with site_lib.open_site() as site:
+            site.catalog = site_lib.make_catalog([route])
+            site.batches.submissions = store
+            started_at = time.monotonic()
+            response = await site_lib.call(
+                site.address, "/batch/1", body=BATCH_BODY
+            )
+            took_s = time.monotonic() - started_at
+        self.assertEqual(response.status, 504)
+        self.assertLess(took_s, 0.4 + TIMING_TOLERANCE_S)
+
+    async def test_wait_for_the_configuration_extends_the_timeout(
+        self,
+    ) -> None:
+        async with site_lib.open_site() as site:
+            for one in site.endpoints:
+                one.behavior = endpoint.Behavior(is_unresponsive=True)
+            site.load_delay_s = 1.2
+            site.catalog = catalog.EMPTY
+
+            async def load() -> None:
+                await anyio.sleep(1.0)
+                route = site_lib.make_route(
+                    "/slow/", catalog.Kind.STREAM, timeout_s=1.5
+                )
+                site.catalog = site_lib.make_catalog([route])
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(load)
+                started_at = time.monotonic()
+                response = await site_lib.call(site.address, "/slow/a")
+                took_s = time.monotonic() - started_at
+        self.assertEqual(response.status, 504)
+        self.assertLess(took_s, 1.5 + TIMING_TOLERANCE_S)
+
     async def test_endpoint_without_response_is_suspected(self) -> None:
         async with site_lib.open_site("e1") as site:
             site.endpoints[0].behavior = endpoint.Behavior(is_unresponsive=True)
