Bound endless responses in the engine, service and watch readers

The adapters of the product's own interface read errors and load reports whole, and event streams and watches line by line, whatever the size: an engine that sent a line without end grew the agent's memory until the call's deadline.

Bodies read whole are now bounded to 1 MiB, a line of an event stream to 1 MiB, and one event of a watch to 16 MiB. Calls to etcd and the endpoint slices other than watches stay bounded in time only. The four cases of the new test failed before.

--- a/eelgrassgate/engine/http.py
+++ b/eelgrassgate/engine/http.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from eelgrassgate import outcomes
+from eelgrassgate import response_limits
 from eelgrassgate.engine import base
 from eelgrassgate.engine import connections
 
@@ -112,12 +113,13 @@
         async with self._pool.use() as client:
             with anyio.move_on_after(CONTROL_TIMEOUT_S) as scope:
                 try:
-                    response = await client.request(method, path, content=body)
+                    async with client.stream(
+                        method, path, content=body
+                    ) as response:
+                        content = await response_limits.read_body(response)
                     if response.status_code != OK_STATUS:
                         return None
-                    return msgspec.json.decode(
-                        response.content, type=response_type
-                    )
+                    return msgspec.json.decode(content, type=response_type)
                 except (httpx.HTTPError, msgspec.DecodeError):
                     self._pool.replace(client)
             if scope.cancelled_caught:
@@ -154,6 +156,7 @@
     response: httpx.Response, deadline: float
 ) -> AsyncGenerator[base.Part, None]:
     is_complete = False
+    response_limits.limit_lines(response)
     events = httpx_sse.EventSource(response).aiter_sse()
     async for event in connections.iterate_until(events, deadline):
         is_complete = event.data == DONE
@@ -192,7 +195,7 @@
     response: httpx.Response, deadline: float
 ) -> base.Failed | None:
     with anyio.CancelScope(deadline=deadline):
-        body = await response.aread()
+        body = await response_limits.read_body(response)
         try:
             error = msgspec.json.decode(body, type=_ErrorBody).error
         except msgspec.DecodeError:
--- a/eelgrassgate/instances/endpointslice.py
+++ b/eelgrassgate/instances/endpointslice.py
@@ -14,9 +14,12 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import response_limits
 from eelgrassgate.instances import base
 from eelgrassgate.instances import slices
 
+# Bound on one event of a watch, which holds one slice.
+MAX_EVENT_BYTES: Final = 16_777_216
 CALL_TIMEOUT_S: Final = 3.0
 CONNECT_TIMEOUT_S: Final = 1.0
 WATCH_DURATION_S: Final = 10
@@ -126,6 +129,7 @@
             timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
         ) as response:
             response.raise_for_status()
+            response_limits.limit_lines(response, MAX_EVENT_BYTES)
             lines = response.aiter_lines()
             while True:
                 try:
--- a/eelgrassgate/service/http.py
+++ b/eelgrassgate/service/http.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from eelgrassgate import outcomes
+from eelgrassgate import response_limits
 from eelgrassgate.engine import base
 from eelgrassgate.engine import connections
 
@@ -102,7 +103,7 @@
     if not call.fence or response.status_code != CONFLICT_STATUS:
         return False
     with anyio.CancelScope(deadline=call.deadline):
-        body = await response.aread()
+        body = await response_limits.read_body(response)
         try:
             found = msgspec.json.decode(body, type=_ErrorBody)
         except msgspec.DecodeError:
--- a/eelgrassgate/store/etcd.py
+++ b/eelgrassgate/store/etcd.py
@@ -22,9 +22,12 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import response_limits
 from eelgrassgate.store import base
 from eelgrassgate.store import etcd_messages
 
+# Bound on one response of a watch, which holds several changes.
+MAX_EVENT_BYTES: Final = 16_777_216
 CALL_TIMEOUT_S: Final = 3.0
 CONNECT_TIMEOUT_S: Final = 1.0
 WATCH_TIMEOUT_S: Final = 6.0
@@ -182,6 +185,7 @@
                 etcd_messages.WATCH_PATH,
                 content=msgspec.json.encode(request),
             ) as response:
+                response_limits.limit_lines(response, MAX_EVENT_BYTES)
                 lines = response.aiter_lines()
                 while True:
                     with anyio.fail_after(self._watch_timeout_s):
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -7,13 +7,18 @@
 import anyio
 import msgspec
 
+from eelgrassgate import deadlines
+from eelgrassgate import outcomes
 from eelgrassgate.batches import items
+from eelgrassgate.engine import base as engine_base
+from eelgrassgate.engine import http as engine_http
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import kv
+from eelgrassgate.service import http as service_http
 from eelgrassgate.standins import endpoint
 from tests import site as site_lib
 
@@ -215,6 +220,42 @@
                     )
                     await store.close()
 
+    async def test_engine_adapters_read_endless_responses(self) -> None:
+        lost = outcomes.Code.ENDPOINT_LOST
+        stream = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+        conflict = b"HTTP/1.1 409 No\r\n\r\n"
+        for name, create, start in (
+            ("an event", engine_http.create_engine, stream + b"data: "),
+            ("a conflict", engine_http.create_engine, conflict),
+            ("a conflict of a service", service_http.create_service, conflict),
+        ):
+            with self.subTest(name):
+                async with serve_endless(start, PADDING, 0.0) as server:
+                    adapter = create(f"http://{server.address}")
+                    call = engine_base.Call(
+                        "a",
+                        "POST",
+                        "/v1/completions",
+                        b"{}",
+                        "application/json",
+                        is_stream=True,
+                        deadline=deadlines.after(TIMEOUT_S),
+                        fence=1,
+                    )
+                    with anyio.fail_after(MAX_ANSWER_S):
+                        parts = [part async for part in adapter.call(call)]
+                    end = parts[-1]
+                    assert isinstance(end, engine_base.Failed)
+                    self.assertEqual(end.refusal.code, lost)
+                    await adapter.close()
+        with self.subTest("a load report"):
+            head = b"HTTP/1.1 200 OK\r\n\r\n"
+            async with serve_endless(head, PADDING, 0.0) as server:
+                adapter = engine_http.create_engine(f"http://{server.address}")
+                with anyio.fail_after(engine_http.CONTROL_TIMEOUT_S / 2):
+                    self.assertIsNone(await adapter.read_load())
+                await adapter.close()
+
     def test_event_buffer_grows_without_bound(self) -> None:
         splitter = events.Splitter()
         with self.assertRaises(events.EventTooLargeError):
