--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -25,6 +25,8 @@
 # announce new jobs directly; only expired claims and cancellations, which may
 # take up to 3 s to apply, depend on the watch.
 OPEN_BATCH_DELAY_S: Final = 1.2
+# Cancellations are learned from this watch alone.
+OPEN_MAX_WAIT_S: Final = 1.1
 # Draining for a retirement ends this long before the retirement's deadline.
 RETIRE_MARGIN_S: Final = 1.5
 RETRY_DELAY_S: Final = 0.3
@@ -40,7 +42,10 @@
         """Create a batch process; `run` starts it."""
         self._node = node
         self._open_mirror = mirror.create_mirror(
-            node.adapters.store, records.OPEN, batch_delay_s=OPEN_BATCH_DELAY_S
+            node.adapters.store,
+            records.OPEN,
+            batch_delay_s=OPEN_BATCH_DELAY_S,
+            max_wait_s=OPEN_MAX_WAIT_S,
         )
         self._owner = owner_lib.create_owner(
             node.adapters.store,
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -284,6 +284,7 @@
             long_poll_s, grace_s = self._long_poll_s, LONG_POLL_GRACE_S
             if max_wait_s is not None:
                 long_poll_s = min(long_poll_s, max_wait_s)
+                grace_s = min(grace_s, long_poll_s)
             if not self._is_direct:
                 long_poll_s = min(long_poll_s, RELAYED_LONG_POLL_S)
                 grace_s = RELAYED_LONG_POLL_GRACE_S
--- a/eelgrassgate/store/mirror.py
+++ b/eelgrassgate/store/mirror.py
@@ -30,12 +30,17 @@
     """
 
     def __init__(
-        self, store: base.Store, prefix: str, batch_delay_s: float
+        self,
+        store: base.Store,
+        prefix: str,
+        batch_delay_s: float,
+        max_wait_s: float | None,
     ) -> None:
         """Create an empty mirror; see `create_mirror`."""
         self._store = store
         self._prefix = prefix
         self._batch_delay_s = batch_delay_s
+        self._max_wait_s = max_wait_s
         self._listeners: list[Listener] = []
         self._changed = anyio.Event()
         self.records_by_key: dict[str, base.Record] = {}
@@ -93,7 +98,9 @@
 
     async def _watch(self) -> None:
         """Apply changes until the watch ends."""
-        answers = self._store.watch(self._prefix, self.revision + 1)
+        answers = self._store.watch(
+            self._prefix, self.revision + 1, max_wait_s=self._max_wait_s
+        )
         async for answer in answers:
             if isinstance(answer, result.Failure):
                 self._mark_disconnected(answer.failure().message)
@@ -142,7 +149,11 @@
 
 
 def create_mirror(
-    store: base.Store, prefix: str, *, batch_delay_s: float = 0.1
+    store: base.Store,
+    prefix: str,
+    *,
+    batch_delay_s: float = 0.1,
+    max_wait_s: float | None = None,
 ) -> Mirror:
     """Create a mirror of the keys under `prefix`.
 
@@ -150,5 +161,8 @@
         store: The store.
         prefix: The prefix.
         batch_delay_s: Seconds to wait after each batch of changes.
+        max_wait_s: Longest wait of the watch for a change in seconds; bounds
+            how long a watch that nothing reaches any more is trusted. None
+            for the store's default.
     """
-    return Mirror(store, prefix, batch_delay_s)
+    return Mirror(store, prefix, batch_delay_s, max_wait_s)
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -17,6 +17,7 @@
 from starlette import routing
 
 from eelgrassgate import outcomes
+from eelgrassgate.batches import daemon as batch_daemon
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
@@ -450,6 +451,36 @@
 
 
 class WatchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_watch_that_nothing_reaches_is_trusted(self) -> None:
+        """Only this one connection is silent; all other calls are answered."""
+        backend = memory.create_memory_store()
+        standin = kv_standin.create_app(backend)
+        silenced: list[bool] = []
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            if scope.get("path") == "/kv-watch" and not silenced:
+                silenced.append(True)
+                await anyio.sleep_forever()
+            await standin(scope, receive, send)
+
+        async with loopback.serve(app) as url:
+            store = kv.create_kv_store(url.removeprefix("http://"))
+            followed = mirror.create_mirror(
+                store, "a", max_wait_s=batch_daemon.OPEN_MAX_WAIT_S
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(followed.run)
+                with anyio.fail_after(TEST_TIMEOUT_S):
+                    while not silenced:
+                        await anyio.sleep(0.01)
+                (await backend.commit(WRITE)).unwrap()
+                with anyio.move_on_after(MAX_FAILOVER_S):
+                    while "a" not in followed.records_by_key:
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            await store.close()
+        self.assertIn("a", followed.records_by_key)
+
     async def test_change_skipped_by_an_empty_response(self) -> None:
         """A watch must not resume at the revision of an empty response.
 
