Pause between fetches of a configuration that no peer serves

A process that could not use any peer's newer version, for instance one written for a later release, asked its peers 20 times a second. The pause now doubles from 0.1 to 0.8 s. Found when reading the change.

--- a/eelgrassgate/gateway/config_sync.py
+++ b/eelgrassgate/gateway/config_sync.py
@@ -42,7 +42,7 @@
 # watches may confirm the configuration of all others.
 TAKEOVER_INTERVAL_S: Final = 0.25
 MAX_TAKEOVER_DELAY_S: Final = 2.0
-# Assumed for the time that a report travels; a third of it between regions.
+# Allowance for the time that a report travels, 30 ms between regions.
 REPORT_TRANSIT_S: Final = 0.1
 # A watch starts at a confirmed revision only while the store surely keeps the
 # changes since then.
@@ -56,7 +56,7 @@
 # After this delay without a response the next process is tried as well.
 HEDGING_DELAY_S: Final = 0.3
 FETCH_TIMEOUT_S: Final = 1.5
-FETCH_RETRY_INTERVAL_S: Final = 0.05
+FAR_CHECK_INTERVAL_S: Final = 0.05
 MAX_SOURCES: Final = 4
 CONNECT_TIMEOUT_S: Final = 0.4
 MAX_CONFIG_BYTES: Final = 4_194_304
@@ -312,12 +312,15 @@
             await self._newer_reported.wait()
             self._newer_reported = anyio.Event()
             far_at = deadlines.after(FAR_FETCH_DELAY_S)
+            backoff_s = MIN_BACKOFF_S
             while sources := self._list_sources():
-                is_far_allowed = deadlines.is_past(far_at)
-                if not is_far_allowed:
+                if not deadlines.is_past(far_at):
                     sources = [one for one in sources if self._is_near(one)]
-                if not sources or not await self._fetch_first(sources):
-                    await anyio.sleep(FETCH_RETRY_INTERVAL_S)
+                if not sources:
+                    await anyio.sleep(FAR_CHECK_INTERVAL_S)
+                elif not await self._fetch_first(sources):
+                    await anyio.sleep(backoff_s)
+                    backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
 
     def _list_sources(self) -> list[registry.Member]:
         """Return the peers that have a newer version, nearest first."""
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -387,6 +387,24 @@
         sync._apply(b'{"version": 6}', "peer")
         self.assertEqual(sync.catalog.version, 6)
 
+    async def test_peer_without_a_usable_version_is_asked_without_pause(
+        self,
+    ) -> None:
+        newer = reports.ConfigStatus(6, 9, 0.5)
+        sync = await self.load(_FakePeers({make_member("a", "r2"): newer}))
+        calls: list[registry.Member] = []
+
+        async def fetch(source: registry.Member) -> bool:
+            calls.append(source)
+            return False
+
+        sync._fetch = fetch  # type: ignore[method-assign]
+        sync._newer_reported.set()
+        with anyio.move_on_after(config_sync.FAR_FETCH_DELAY_S + 1.5):
+            await sync._follow_forever()
+        # After pauses of 0.1, 0.2, 0.4 and 0.8 s.
+        self.assertIn(len(calls), range(1, 6))
+
     def test_compressed_size_is_bounded(self) -> None:
         bound = config_sync.MAX_CONFIG_BYTES
         whole = zlib.compress(b" " * bound)
