--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -336,7 +336,7 @@
                     age_s,
                 )
 
-    async def test_processes_take_over_one_by_one(self) -> None:
+    async def test_all_processes_take_over_at_once(self) -> None:
         """Changes for all at once would fill the link between regions."""
         own_rank = config_sync._hash_name("own")
         pool = [f"peer-{number}" for number in range(64)]
