Keep a resumed request of the stand-in engine when its former caller leaves

Worked out, not traced: the stand-in cancels by attempt id when a caller's stream ends. The new test of the stand-in needs the method that this change adds; with the former call it cancels the resumed request.

--- a/eelgrassgate/standins/direct.py
+++ b/eelgrassgate/standins/direct.py
@@ -54,7 +54,7 @@
         except connections.DeadlineError:
             yield connections.fail_expired(was_sent=True)
         finally:
-            self._engine.cancel(call.attempt)
+            self._engine.abandon(request)
 
     async def cancel(self, attempt: str) -> bool:
         """Cancel an attempt."""
--- a/eelgrassgate/standins/engine.py
+++ b/eelgrassgate/standins/engine.py
@@ -214,7 +214,7 @@
     ) -> None:
         while (await request.receive())["type"] != "http.disconnect":
             pass
-        self.core.cancel(call.request.attempt)
+        self.core.abandon(call.request)
 
     async def _stream(self, call: _EngineCall) -> AsyncIterator[bytes]:
         try:
@@ -227,7 +227,7 @@
                 yield _encode_event({**last, **usage})
             yield DONE
         finally:
-            self.core.cancel(call.request.attempt)
+            self.core.abandon(call.request)
 
 
 def create_app(options: generation.Options) -> applications.Starlette:
--- a/eelgrassgate/standins/generation.py
+++ b/eelgrassgate/standins/generation.py
@@ -251,6 +251,15 @@
             self._suspended.popitem(last=False)
         return True
 
+    def abandon(self, request: GenerationRequest) -> None:
+        """Cancel a request whose caller has left, unless it was resumed.
+
+        A resumed request has the same attempt id but its own caller.
+        """
+        sequences = (self._running.get(request.attempt), *self._waiting)
+        if any(one is not None and one.request is request for one in sequences):
+            self.cancel(request.attempt)
+
     def list_running(self) -> tuple[str, ...]:
         """Return the ids of the running requests."""
         return tuple(self._running)
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -236,6 +236,19 @@
             expected = (None, Code.ENDPOINT_FAILED, NOT_RUN)
             self.assertEqual(describe(parts), expected)
 
+    def test_a_caller_that_leaves_late_cancels_the_resumed_request(
+        self,
+    ) -> None:
+        core = generation.SimulatedEngine(generation.Options())
+        first = generation.GenerationRequest("a", "x", 9)
+        core.start(first)
+        core._admit()
+        self.assertTrue(core.cancel("a"))
+        core.start(msgspec.structs.replace(first, resume_from=2))
+        core._admit()
+        core.abandon(first)
+        self.assertEqual(core.list_running(), ("a",))
+
     async def test_a_cancelled_stream_resumes(self) -> None:
         app = engine.create_app(generation.Options(speed=5.0))
         body = write_body(stream=True, max_tokens=20)
