--- a/eelgrassgate/gateway/discovery.py
+++ b/eelgrassgate/gateway/discovery.py
@@ -21,9 +21,6 @@
 # so changes are batched. The delay must stay below the 3 s for which a draining
 # endpoint may still get work.
 ENDPOINTS_BATCH_DELAY_S: Final = 1.5
-# Longer than the interval at which endpoints rewrite their entries, so that it
-# causes no calls while any endpoint is registered.
-ENDPOINTS_MAX_WAIT_S: Final = 1.5
 RETIREMENTS_BATCH_DELAY_S: Final = 0.1
 EXPIRY_CHECK_INTERVAL_S: Final = 0.2
 # A starting process loads the configuration and the endpoints within 0.3 s;
@@ -104,7 +101,6 @@
             store,
             documents.endpoints_prefix,
             batch_delay_s=ENDPOINTS_BATCH_DELAY_S,
-            max_wait_s=ENDPOINTS_MAX_WAIT_S,
         )
         self.config.subscribe(lambda _: self._signal_if_loaded())
         self._retirements.subscribe(self._apply_retirements)
