Log what tells a faulty request from a faulty endpoint

After an attempt was lost, the logs could not tell whether the request had ended the endpoint: no line held the parts of its prompt, whether the attempt had produced output, or whether the endpoint was gone.

A lost attempt of a request or batch item now logs all three. Retries and placement are unchanged.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -83,7 +83,7 @@
     Returns:
         The outcome and its reason.
     """
-    call = _build_call(progress.item, host, deadline)
+    call = _build_call(dialect, progress.item, host, deadline)
     attempt = calls.Attempt(
         endpoint.id, workspace, deadline, progress.last_event or None
     )
@@ -108,15 +108,28 @@
         return Outcome.BROKEN, "idle timeout"
 
 
-def _build_call(
-    item: calls.BatchItem, host: str, deadline: float
-) -> calls.Call:
-    headers = [(b"host", host.encode("latin-1"))]
-    headers.append((b"request-id", item.id.encode("latin-1")))
-    headers.extend(
+def read_prompt_parts(
+    dialect: calls.Dialect, item: calls.BatchItem
+) -> tuple[str, ...]:
+    """Return `calls.Call.prompt_parts` of an item."""
+    return dialect.read_prompt_parts(_encode_headers(item))
+
+
+def _encode_headers(item: calls.BatchItem) -> upstream.Headers:
+    return tuple(
         (name.lower().encode("latin-1"), value.encode("latin-1"))
         for name, value in item.headers.items()
     )
+
+
+def _build_call(
+    dialect: calls.Dialect, item: calls.BatchItem, host: str, deadline: float
+) -> calls.Call:
+    headers = (
+        (b"host", host.encode("latin-1")),
+        (b"request-id", item.id.encode("latin-1")),
+        *_encode_headers(item),
+    )
     return calls.Call(
         item.id,
         b"POST",
@@ -124,9 +137,10 @@
         host,
         item.path.partition("?")[0],
         None,
-        tuple(headers),
+        headers,
         item.body,
         deadline,
+        dialect.read_prompt_parts(headers),
     )
 
 
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -21,8 +21,10 @@
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import forwarding
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
@@ -481,6 +483,7 @@
     ) -> None:
         outcome = items.Outcome.BROKEN
         reason = "stopped"
+        first_event = run.progress.last_event
         deadline = items.compute_deadline(run.owned.job.kept_until, time.time())
         try:
             with (
@@ -499,6 +502,10 @@
                     run.progress,
                     record_activity,
                 )
+                if outcome is items.Outcome.BROKEN:
+                    await self._check_endpoint(
+                        run, has_output=run.progress.last_event != first_event
+                    )
         except Exception:
             # An error in one item must not stop the other items.
             reason = "internal error"
@@ -513,6 +520,20 @@
             run.owned.running.pop(run.progress.item.id, None)
         self._handle_outcome(run, outcome, reason, route)
 
+    async def _check_endpoint(self, run: _Run, *, has_output: bool) -> None:
+        """Log whether an endpoint that broke off a run has ended."""
+        has_endpoint_ended = await sockets.is_refused(
+            run.endpoint.address, forwarding.END_CHECK_TIMEOUT_S
+        )
+        logs.log_message(
+            "attempt lost",
+            id=run.progress.item.id,
+            endpoint=run.endpoint.id,
+            has_endpoint_ended=has_endpoint_ended,
+            has_output=has_output,
+            parts=items.read_prompt_parts(self._dialect, run.progress.item),
+        )
+
     def _handle_outcome(
         self,
         run: _Run,
--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -24,6 +24,8 @@
         body: The request body.
         deadline: Monotonic time by which to respond: the caller stops waiting,
             or the route's timeout passes.
+        prompt_parts: Ids of the parts of the prompt that other requests may
+            share, in order; the last part is the request's own and left out.
     """
 
     id: str
@@ -35,6 +37,7 @@
     headers: upstream.Headers
     body: bytes
     deadline: float
+    prompt_parts: tuple[str, ...] = ()
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -81,6 +84,10 @@
         """Parse a request."""
         ...
 
+    def read_prompt_parts(self, headers: upstream.Headers) -> tuple[str, ...]:
+        """Parse `Call.prompt_parts` from a request's headers."""
+        ...
+
     def write_attempt(self, call: Call, attempt: Attempt) -> upstream.Request:
         """Build the request to send to an endpoint."""
         ...
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import idle_timeout
+from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 
@@ -39,6 +40,9 @@
 # certainly did not run the request. A separate bound is needed since failed
 # connections do not count as attempts.
 MAX_UNEXECUTED_TRIES: Final = 4
+# Timeout of the check whether an endpoint that broke off a response has ended;
+# covers a round trip between regions.
+END_CHECK_TIMEOUT_S: Final = 0.15
 # Logged result of an attempt that the gateway cancelled.
 CANCELLED: Final = "stopped"
 
@@ -77,6 +81,8 @@
         unexecuted_tries: Number of tries in which no endpoint ran the request.
         may_have_run: Whether an endpoint may have run the request.
         is_in_flight: Whether a request was sent that has no response yet.
+        has_output: Whether the current attempt has produced output: an event
+            of a stream, or a byte of another body.
         last_event: Id of the last stream event sent to the caller.
         failure: An endpoint's error response, kept while others are tried.
     """
@@ -85,6 +91,7 @@
     unexecuted_tries: int = 0
     may_have_run: bool = False
     is_in_flight: bool = False
+    has_output: bool = False
     last_event: str | None = None
     failure: tuple[upstream.Head, bytes] | None = None
 
@@ -188,6 +195,8 @@
         progress: _Progress,
     ) -> Result:
         started_at = deadlines.now()
+        has_endpoint_ended = False
+        progress.has_output = False
         reason = ""
         result = Result.LOST
         status = 0
@@ -218,6 +227,10 @@
             reason = str(error)
             result = Result.LOST if error.was_sent else Result.NOT_SENT
             self._placement.record_unreachable(endpoint)
+            if error.was_sent and call.prompt_parts:
+                has_endpoint_ended = await sockets.is_refused(
+                    endpoint.address, END_CHECK_TIMEOUT_S
+                )
         except TimeoutError:
             reason = "idle timeout"
             self._placement.record_unreachable(endpoint)
@@ -242,6 +255,15 @@
             # its low load would attract more requests.
             self._placement.record_error(endpoint)
         self._log_attempt(call, endpoint, result.value, status, reason, took_s)
+        if result is Result.LOST:
+            logs.log_message(
+                "attempt lost",
+                id=call.id,
+                endpoint=endpoint.id,
+                has_endpoint_ended=has_endpoint_ended,
+                has_output=progress.has_output,
+                parts=call.prompt_parts,
+            )
         self._metrics.count_attempt(endpoint.service, result.value)
         _record_result(progress, result)
         is_broken = responder.has_begun and result is not Result.DONE
@@ -316,7 +338,7 @@
             return await self._forward_buffered(
                 connection, route, responder, progress, idle_timeout_s
             )
-        await self._forward_chunks(connection, responder)
+        await self._forward_chunks(connection, responder, progress)
         return Result.DONE
 
     async def _forward_buffered(
@@ -337,6 +359,7 @@
             async for part in connection.iterate():
                 if not can_retry:
                     reset_timeout(idle_timeout_s)
+                progress.has_output = True
                 parts.append(part)
                 size += len(part)
                 if size > MAX_BUFFERED_BYTES and can_retry:
@@ -373,11 +396,15 @@
         )
 
     async def _forward_chunks(
-        self, connection: upstream.Connection, responder: downstream.Responder
+        self,
+        connection: upstream.Connection,
+        responder: downstream.Responder,
+        progress: _Progress,
     ) -> None:
         """Forward a response as it arrives."""
         await self._begin_response(connection, responder)
         async for part in connection.iterate():
+            progress.has_output = True
             await responder.send(part)
         await responder.finish()
 
@@ -402,6 +429,7 @@
                 if not complete_events:
                     continue
                 reset_timeout(idle_timeout_s)
+                progress.has_output = True
                 if not responder.has_begun:
                     await responder.begin(
                         connection.head.status,
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -48,6 +48,16 @@
     raise TimeoutError(f"connecting to {address} timed out after {timeout_s} s")
 
 
+async def is_refused(address: str, timeout_s: float) -> bool:
+    """Return whether nothing listens at `host:port` although its host is up."""
+    try:
+        stream = await connect(address, timeout_s)
+    except OSError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    await abort(stream)
+    return False
+
+
 def is_readable(stream: abc.SocketStream) -> bool:
     """Return whether data or an end of stream is ready to be read.
 
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -25,6 +25,9 @@
 # Milliseconds that a caller waits for a new result of a job (long polling).
 WAIT_TIME: Final = b"wait-time"
 
+# Parts of the prompt in order, as `ID:TOKENS` separated by commas.
+PROMPT_PREFIX: Final = b"prompt-prefix"
+
 BEARER: Final = "bearer "
 MISDIRECTED_STATUS: Final = 421
 MS_PER_S: Final = 1000.0
@@ -77,8 +80,17 @@
             _filter_headers(incoming.headers, _SET_BY_GATEWAY),
             incoming.body,
             incoming.received_at + remaining / MS_PER_S,
+            self.read_prompt_parts(incoming.headers),
         )
 
+    def read_prompt_parts(self, headers: upstream.Headers) -> tuple[str, ...]:
+        """Parse the ids of the shared parts: all but the last."""
+        for name, value in headers:
+            if name == PROMPT_PREFIX:
+                parts = value.decode("latin-1").split(",")[:-1]
+                return tuple(part.partition(":")[0].strip() for part in parts)
+        return ()
+
     def write_attempt(
         self, call: calls.Call, attempt: calls.Attempt
     ) -> upstream.Request:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -205,6 +205,18 @@
             deadlines.compute_remaining(call.deadline), 1.5, delta=0.2
         )
 
+    def test_prompt_parts(self) -> None:
+        for value, expected in (
+            (b"5c1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+            (b"5c1e:800, 91bd:410", ("5c1e",)),
+            (b"e440:250", ()),
+            (b"", ()),
+        ):
+            with self.subTest(value):
+                call = self.read((b"prompt-prefix", value))
+                self.assertEqual(call.prompt_parts, expected)
+        self.assertEqual(self.read().prompt_parts, ())
+
     def test_invalid_headers(self) -> None:
         for value in (b"", b"x", b"-5", b"1.5"):
             call = self.read((b"time-remaining", value))
