--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -35,6 +35,8 @@
         endless: Bytes to send first, and bytes to send then again and again
             until the caller closes; None for complete responses.
         endless_delay_s: Delay before each of the repeated bytes.
+        crashing_part: Id of the prompt part under which the endpoint ends as
+            soon as it has sent the head of its response.
     """
 
     events: int = 4
@@ -47,6 +49,7 @@
     has_late_response: bool = False
     endless: tuple[bytes, bytes] | None = None
     endless_delay_s: float = 0.0
+    crashing_part: str = ""
 
 
 class Run(msgspec.Struct):
@@ -69,6 +72,12 @@
         """The request's id."""
         return (self.incoming.get(b"request-id") or b"").decode()
 
+    @property
+    def parts(self) -> list[str]:
+        """The ids of all parts of the request's prompt."""
+        prefix = (self.incoming.get(b"prompt-prefix") or b"").decode()
+        return [part.partition(":")[0] for part in prefix.split(",")]
+
 
 class Endpoint:
     """A simulated endpoint.
@@ -79,6 +88,7 @@
         address: `host:port`, once it is served.
         endless_calls: Number of endless responses being sent.
         endless_bytes: Bytes of endless responses sent so far.
+        has_crashed: Whether it has ended by a request.
     """
 
     def __init__(self, name: str) -> None:
@@ -89,11 +99,13 @@
         self.address = ""
         self.endless_calls = 0
         self.endless_bytes = 0
+        self.has_crashed = False
+        self._crash = anyio.Event()
 
     async def serve(
         self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
-        """Serve on a free loopback port until cancelled."""
+        """Serve on a free loopback port until it crashes or is cancelled."""
         listener = downstream.Listener(
             downstream.Limits, self._handle, lambda: False
         )
@@ -102,7 +114,9 @@
             port = await tasks.start(listener.serve, "127.0.0.1:0")
             self.address = f"127.0.0.1:{port}"
             task_status.started()
-            await anyio.sleep_forever()
+            await self._crash.wait()
+            self.has_crashed = True
+            tasks.cancel_scope.cancel()
 
     async def _handle(
         self,
@@ -140,6 +154,9 @@
                 b"content-length: 4\r\n\r\nlate"
             )
         await responder.begin(OK_STATUS, headers)
+        if behavior.crashing_part and behavior.crashing_part in run.parts:
+            self._crash.set()
+            await anyio.sleep_forever()
         for number in range(first, behavior.events + 1):
             await anyio.sleep(behavior.event_delay_s)
             if (
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -72,9 +72,15 @@
     count: int = 3,
     workspace: str = site_lib.WORKSPACE,
     config_version: int = 1,
+    items: tuple[calls.BatchItem, ...] | None = None,
 ) -> submission.Outcome:
     accepted = await submission.submit(
-        store, make_call(), ROUTE, workspace, make_items(count), config_version
+        store,
+        make_call(),
+        ROUTE,
+        workspace,
+        make_items(count) if items is None else items,
+        config_version,
     )
     return accepted.outcome
 
@@ -297,12 +303,12 @@
 
 
 class Harness:
-    """An owner with two stand-in endpoints and a store in memory."""
+    """An owner with stand-in endpoints and a store in memory."""
 
-    def __init__(self) -> None:
+    def __init__(self, names: str = "ef") -> None:
         self.store = make_store()
         self.catalog = site_lib.make_catalog()
-        self.endpoints = [endpoint.create_endpoint(name) for name in "ef"]
+        self.endpoints = [endpoint.create_endpoint(name) for name in names]
         self.loads = loads.create_loads()
         self.placement = placement_lib.create_placement(
             self.loads, failures.create_failures(), "z1", {"z1": "r1"}
@@ -364,8 +370,10 @@
 
 
 @contextlib.asynccontextmanager
-async def open_harness(*, slots: int = 8) -> AsyncIterator[Harness]:
-    harness = Harness()
+async def open_harness(
+    *, slots: int = 8, names: str = "ef"
+) -> AsyncIterator[Harness]:
+    harness = Harness(names)
     async with anyio.create_task_group() as tasks:
         for one in harness.endpoints:
             await tasks.start(one.serve)
