Keep requests whose prompt crashes endpoints away from endpoints

Cause: an attempt that was lost counted against the endpoint alone. The request went to the next endpoint, and nothing remembered what had been in flight at earlier ends, in this process or another.

Each process now records the endpoints that ended under its requests, with the parts of their prompts, and the parts that were answered completely. Reports carry both; one part is blamed for the ends that it explains, after at least four in a row under two requests. Requests with it are refused, batch items wait. Quarantined parts are in every report and in the key-value service, so processes that restart know them, too.

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -57,6 +57,7 @@
             node.pool,
             node.placement,
             node.loads,
+            node.quarantine,
             node.discovery.get_catalog,
             node.metrics,
         )
--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -55,6 +55,9 @@
         run_time_s: Total run time so far in seconds.
         failed_endpoints: Ids of the endpoints whose runs failed with status
             500.
+        ended_endpoints: Number of endpoints in a row that ended before they
+            had produced output for the item.
+        prompt_parts: The item's `calls.Call.prompt_parts`.
     """
 
     item: calls.BatchItem
@@ -63,6 +66,8 @@
     failures: int = 0
     run_time_s: float = 0.0
     failed_endpoints: set[str] = set()
+    ended_endpoints: int = 0
+    prompt_parts: tuple[str, ...] | None = None
 
 
 async def run(
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -29,6 +29,7 @@
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import reports as reports_lib
+from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
@@ -41,6 +42,10 @@
 CLAIM_STAGGER_S: Final = 1.7
 # Delay before an item runs again after a run that did not complete it.
 RETRY_DELAY_S: Final = 0.2
+# Factor of that delay for each endpoint that ended under the item; the item
+# may be the cause.
+ENDED_DELAY_FACTOR: Final = 5.0
+MAX_RETRY_DELAY_S: Final = 120.0
 STORE_RETRY_DELAY_S: Final = 0.3
 # Bound on the cached results of closed jobs, a tenth of a small instance's
 # memory.
@@ -90,6 +95,7 @@
         pool: upstream.Pool,
         placement: placement_lib.Placement,
         load_table: loads.Loads,
+        quarantine: quarantine_lib.Quarantine,
         read_catalog: Callable[[], catalog.Catalog],
         metrics: metrics_lib.Metrics,
     ) -> None:
@@ -103,6 +109,7 @@
         self._pool = pool
         self._placement = placement
         self._loads = load_table
+        self._quarantine = quarantine
         self._read_catalog = read_catalog
         self._metrics = metrics
         self._jobs_by_id: dict[str, _OpenJob] = {}
@@ -430,7 +437,7 @@
             for owned in self._owned_by_id.values()
             if owned.is_claimed()
             for progress in owned.waiting
-            if self._can_retry(progress)
+            if self._can_retry(progress) and not self._is_held_back(progress)
         ]
         ranked.sort(key=lambda one: one[:2])
         return [(owned, progress) for _, _, owned, progress in ranked]
@@ -442,6 +449,21 @@
             return True
         return False
 
+    def _is_held_back(self, progress: items.Progress) -> bool:
+        """Return whether an item would crash the endpoint that runs it.
+
+        The item waits until the quarantine or its retention ends.
+        """
+        parts = self._get_prompt_parts(progress)
+        return self._quarantine.find_quarantined(parts) is not None
+
+    def _get_prompt_parts(self, progress: items.Progress) -> tuple[str, ...]:
+        if progress.prompt_parts is None:
+            progress.prompt_parts = items.read_prompt_parts(
+                self._dialect, progress.item
+            )
+        return progress.prompt_parts
+
     def _find_route(
         self, owned: ownership.OwnedJob, progress: items.Progress
     ) -> catalog.Route | None:
@@ -521,17 +543,31 @@
         self._handle_outcome(run, outcome, reason, route)
 
     async def _check_endpoint(self, run: _Run, *, has_output: bool) -> None:
-        """Log whether an endpoint that broke off a run has ended."""
+        """Record whether an endpoint that broke off a run has ended."""
+        progress = run.progress
+        parts = self._get_prompt_parts(progress)
         has_endpoint_ended = await sockets.is_refused(
             run.endpoint.address, forwarding.END_CHECK_TIMEOUT_S
         )
+        if has_output:
+            progress.ended_endpoints = 0
+        elif has_endpoint_ended:
+            progress.ended_endpoints += 1
+        if has_endpoint_ended:
+            self._metrics.count_endpoint_end(run.endpoint.service)
+            self._quarantine.record_end(
+                run.endpoint.id,
+                quarantine_lib.Run(
+                    progress.item.id, parts, run.started_at, has_output
+                ),
+            )
         logs.log_message(
             "attempt lost",
-            id=run.progress.item.id,
+            id=progress.item.id,
             endpoint=run.endpoint.id,
             has_endpoint_ended=has_endpoint_ended,
             has_output=has_output,
-            parts=items.read_prompt_parts(self._dialect, run.progress.item),
+            parts=parts,
         )
 
     def _handle_outcome(
@@ -562,6 +598,7 @@
             return
         if outcome is items.Outcome.COMPLETE:
             self._placement.record_success(run.endpoint)
+            self._quarantine.record_answer(self._get_prompt_parts(progress))
             self._run_time_estimator.observe(progress.run_time_s)
             self._metrics.observe_item(records.COMPLETED, progress.run_time_s)
             run.owned.record_result(progress, records.COMPLETED, reason)
@@ -583,7 +620,11 @@
             self._placement.record_error(run.endpoint)
         if not is_cancelled:
             self._paused_until_by_item[progress.item.id] = deadlines.after(
-                RETRY_DELAY_S
+                min(
+                    MAX_RETRY_DELAY_S,
+                    RETRY_DELAY_S
+                    * ENDED_DELAY_FACTOR**progress.ended_endpoints,
+                )
             )
             if outcome in {items.Outcome.NOT_SENT, items.Outcome.BROKEN}:
                 self._placement.record_unreachable(run.endpoint)
@@ -685,6 +726,7 @@
     pool: upstream.Pool,
     placement: placement_lib.Placement,
     load_table: loads.Loads,
+    quarantine: quarantine_lib.Quarantine,
     read_catalog: Callable[[], catalog.Catalog],
     metrics: metrics_lib.Metrics,
 ) -> Owner:
@@ -700,6 +742,7 @@
         pool: Connection pool for endpoints.
         placement: The known endpoints and their health.
         load_table: Requests in flight by endpoint.
+        quarantine: Tells which items would crash endpoints.
         read_catalog: Returns the current configuration.
         metrics: Receives counts and run times of items.
     """
@@ -713,6 +756,7 @@
         pool,
         placement,
         load_table,
+        quarantine,
         read_catalog,
         metrics,
     )
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -41,6 +41,7 @@
             node.pool,
             node.placement,
             node.loads,
+            node.quarantine,
             node.metrics,
         )
         reader = results.create_reader(
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
+from eelgrassgate.quarantine import quarantine as quarantine_lib
 
 # Idle timeout of idempotent requests as a multiple of the latency objective;
 # most responses take less than one objective.
@@ -81,6 +82,8 @@
         unexecuted_tries: Number of tries in which no endpoint ran the request.
         may_have_run: Whether an endpoint may have run the request.
         is_in_flight: Whether a request was sent that has no response yet.
+        has_endpoint_ended: Whether the endpoint of the last attempt ended
+            while the attempt was in flight.
         has_output: Whether the current attempt has produced output: an event
             of a stream, or a byte of another body.
         last_event: Id of the last stream event sent to the caller.
@@ -91,6 +94,7 @@
     unexecuted_tries: int = 0
     may_have_run: bool = False
     is_in_flight: bool = False
+    has_endpoint_ended: bool = False
     has_output: bool = False
     last_event: str | None = None
     failure: tuple[upstream.Head, bytes] | None = None
@@ -105,6 +109,7 @@
         pool: upstream.Pool,
         placement: placement_lib.Placement,
         load_table: loads.Loads,
+        quarantine: quarantine_lib.Quarantine,
         metrics: metrics_lib.Metrics,
     ) -> None:
         """Initialize; see `create_forwarder`."""
@@ -112,6 +117,7 @@
         self._pool = pool
         self._placement = placement
         self._loads = load_table
+        self._quarantine = quarantine
         self._metrics = metrics
 
     async def forward(
@@ -150,6 +156,10 @@
         service = _choose_service(route)
         excluded: set[str] = set()
         while True:
+            part = self._quarantine.find_quarantined(call.prompt_parts)
+            if part is not None:
+                await self._refuse_quarantined(call, part, progress, responder)
+                return
             choice = self._placement.choose_endpoint(
                 service, frozenset(excluded)
             )
@@ -179,7 +189,14 @@
             if outcome is Result.DONE:
                 return
             excluded.add(choice.endpoint.id)
-            if not _can_retry(route, outcome, progress, call.deadline):
+            can_retry = _can_retry(route, outcome, progress, call.deadline)
+            if progress.has_endpoint_ended and self._quarantine.is_suspect(
+                call.prompt_parts
+            ):
+                # The request may have ended the endpoint, and would end the
+                # next one.
+                can_retry = False
+            if not can_retry:
                 await self._reply_failure(
                     call, progress, responder, outcome.value
                 )
@@ -195,7 +212,7 @@
         progress: _Progress,
     ) -> Result:
         started_at = deadlines.now()
-        has_endpoint_ended = False
+        progress.has_endpoint_ended = False
         progress.has_output = False
         reason = ""
         result = Result.LOST
@@ -228,9 +245,7 @@
             result = Result.LOST if error.was_sent else Result.NOT_SENT
             self._placement.record_unreachable(endpoint)
             if error.was_sent and call.prompt_parts:
-                has_endpoint_ended = await sockets.is_refused(
-                    endpoint.address, END_CHECK_TIMEOUT_S
-                )
+                await self._check_endpoint(call, endpoint, started_at, progress)
         except TimeoutError:
             reason = "idle timeout"
             self._placement.record_unreachable(endpoint)
@@ -250,6 +265,8 @@
         took_s = deadlines.now() - started_at
         if result is Result.DONE and status not in SERVER_ERROR_STATUSES:
             self._placement.record_success(endpoint, took_s)
+            if status in SUCCESS_STATUSES:
+                self._quarantine.record_answer(call.prompt_parts)
         elif status:
             # The endpoint responds with errors or refusals. Without a penalty,
             # its low load would attract more requests.
@@ -260,7 +277,7 @@
                 "attempt lost",
                 id=call.id,
                 endpoint=endpoint.id,
-                has_endpoint_ended=has_endpoint_ended,
+                has_endpoint_ended=progress.has_endpoint_ended,
                 has_output=progress.has_output,
                 parts=call.prompt_parts,
             )
@@ -271,6 +288,26 @@
             raise IncompleteResponseError(reason)
         return result
 
+    async def _check_endpoint(
+        self,
+        call: calls.Call,
+        endpoint: catalog.Endpoint,
+        sent_at: float,
+        progress: _Progress,
+    ) -> None:
+        """Record whether an endpoint that broke off a response has ended."""
+        progress.has_endpoint_ended = await sockets.is_refused(
+            endpoint.address, END_CHECK_TIMEOUT_S
+        )
+        if progress.has_endpoint_ended:
+            self._metrics.count_endpoint_end(endpoint.service)
+            self._quarantine.record_end(
+                endpoint.id,
+                quarantine_lib.Run(
+                    call.id, call.prompt_parts, sent_at, progress.has_output
+                ),
+            )
+
     def _log_attempt(
         self,
         call: calls.Call,
@@ -466,6 +503,31 @@
             UNAVAILABLE, self._dialect.write_refusal_headers(retry_after_s)
         )
 
+    async def _refuse_quarantined(
+        self,
+        call: calls.Call,
+        part: str,
+        progress: _Progress,
+        responder: downstream.Responder,
+    ) -> None:
+        """Refuse a call that would crash the endpoint that runs it."""
+        if progress.may_have_run:
+            await self._reply_failure(
+                call, progress, responder, "prompt part quarantined"
+            )
+            return
+        retry_after_s = self._quarantine.compute_remaining(part)
+        logs.log_message(
+            "refused",
+            id=call.id,
+            reason="prompt part quarantined",
+            part=part,
+            return_ms=round(retry_after_s * deadlines.MS_PER_S),
+        )
+        await responder.reply(
+            UNAVAILABLE, self._dialect.write_refusal_headers(retry_after_s)
+        )
+
     async def _reply_failure(
         self,
         call: calls.Call,
@@ -561,6 +623,7 @@
     pool: upstream.Pool,
     placement: placement_lib.Placement,
     load_table: loads.Loads,
+    quarantine: quarantine_lib.Quarantine,
     metrics: metrics_lib.Metrics,
 ) -> Forwarder:
     """Create a forwarder.
@@ -570,6 +633,7 @@
         pool: Connection pool for endpoints.
         placement: Chooses endpoints.
         load_table: Counts requests in flight.
+        quarantine: Tells which requests would crash endpoints.
         metrics: Counts attempts.
     """
-    return Forwarder(dialect, pool, placement, load_table, metrics)
+    return Forwarder(dialect, pool, placement, load_table, quarantine, metrics)
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -48,6 +48,12 @@
             ("service", "result"),
             registry=self._registry,
         )
+        self._endpoint_ends = prometheus_client.Counter(
+            "eelgrassgate_endpoint_ends",
+            "Lost attempts after which the endpoint refused connections.",
+            ("service",),
+            registry=self._registry,
+        )
         self._runs = prometheus_client.Counter(
             "eelgrassgate_item_runs",
             "Runs of batch items by result.",
@@ -77,6 +83,14 @@
             registry=self._registry,
         ).set_function(read_age_s)
 
+    def observe_quarantine(self, count_parts: Callable[[], int]) -> None:
+        """Show the number of quarantined prompt parts."""
+        prometheus_client.Gauge(
+            "eelgrassgate_quarantined_parts",
+            "Prompt parts that are kept from endpoints.",
+            registry=self._registry,
+        ).set_function(count_parts)
+
     def count_request(self, workspace: str, route: str, status: int) -> None:
         """Count a request by its response status."""
         self._requests.labels(
@@ -97,6 +111,10 @@
         """Count an attempt at an endpoint."""
         self._attempts.labels(self._get_label_value(service), result).inc()
 
+    def count_endpoint_end(self, service: str) -> None:
+        """Count a lost attempt whose endpoint has ended."""
+        self._endpoint_ends.labels(self._get_label_value(service)).inc()
+
     def count_run(self, result: str) -> None:
         """Count a run of a batch item."""
         self._runs.labels(result).inc()
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -23,6 +23,8 @@
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import relay
 from eelgrassgate.peering import reports as reports_lib
+from eelgrassgate.quarantine import quarantine
+from eelgrassgate.quarantine import storage
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
@@ -99,11 +101,16 @@
         self.metrics = metrics_lib.create_metrics()
         self.loads = loads.create_loads()
         self.failures = failures.create_failures(self._is_in_same_zone)
+        self.quarantine = quarantine.create_quarantine()
+        self._quarantine_storage = storage.create_storage(
+            adapters.store, self.quarantine
+        )
         self.reports = reports_lib.create_reports(
             self.member,
             self.directory,
             self.loads,
             self.failures,
+            self.quarantine,
             adapters.store.is_directly_reachable,
         )
         adapters.store.set_relays(self.reports.get_relays)
@@ -126,6 +133,7 @@
         self.metrics.observe_config(
             lambda: config.catalog.version, config.get_age_s
         )
+        self.metrics.observe_quarantine(self.quarantine.count_quarantined)
         self.reports.set_config_source(config.get_status)
         self.reports.subscribe(config)
         self.relay.config_handler = config.handle
@@ -144,6 +152,7 @@
             tasks.start_soon(self.discovery.run)
             tasks.start_soon(self._members.run)
             tasks.start_soon(self.registration.run)
+            tasks.start_soon(self._quarantine_storage.run)
             tasks.start_soon(self.reports.run)
             tasks.start_soon(self.metrics.run, self.settings.metrics_address)
             tasks.start_soon(self.relay.run, self.settings.relay_address)
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -16,6 +16,7 @@
 from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
+from eelgrassgate.quarantine import quarantine as quarantine_lib
 
 # Minimum intervals between reports of changes. Traffic to other zones and
 # regions is billed, and few requests are sent to them.
@@ -75,6 +76,7 @@
         is_leaving: Whether the process is shutting down; peers then remove it
             as soon as its entry expires.
         config: Its configuration.
+        quarantine: Prompt parts that crash endpoints, and evidence for it.
     """
 
     name: str
@@ -89,6 +91,7 @@
     failures_by_endpoint: dict[str, tuple[float, float]] = {}
     is_leaving: bool = False
     config: ConfigStatus = ConfigStatus()
+    quarantine: quarantine_lib.Report = quarantine_lib.Report()
 
 
 class Peer(msgspec.Struct):
@@ -124,6 +127,7 @@
         directory: registry.Directory,
         load_table: loads.Loads,
         failures: failures_lib.Failures,
+        quarantine: quarantine_lib.Quarantine,
         is_store_reachable: Callable[[], bool],
     ) -> None:
         """Initialize without peers; see `create_reports`."""
@@ -133,6 +137,7 @@
         self._directory = directory
         self._loads = load_table
         self._failures = failures
+        self._quarantine = quarantine
         self._started_at = deadlines.now()
         self._number = 0
         self._peers_by_name: dict[str, Peer] = {}
@@ -239,6 +244,7 @@
         self._failures.set_peer_failures(
             report.name, report.failures_by_endpoint
         )
+        self._quarantine.merge_report(report.quarantine)
         for listener in self._listeners:
             listener.handle_report(report)
 
@@ -412,6 +418,7 @@
             self._failures.get_suspect_counts(),
             self.is_leaving,
             self._read_config_status(),
+            self._quarantine.build_report(),
         )
         return _ENCODER.encode(report)
 
@@ -433,6 +440,7 @@
     directory: registry.Directory,
     load_table: loads.Loads,
     failures: failures_lib.Failures,
+    quarantine: quarantine_lib.Quarantine,
     is_store_reachable: Callable[[], bool],
 ) -> Reports:
     """Create the report exchange of this process.
@@ -442,6 +450,14 @@
         directory: The processes to send reports to.
         load_table: Requests in flight by endpoint.
         failures: Failure rates of endpoints.
+        quarantine: Prompt parts that crash endpoints.
         is_store_reachable: Returns whether the store is directly reachable.
     """
-    return Reports(member, directory, load_table, failures, is_store_reachable)
+    return Reports(
+        member,
+        directory,
+        load_table,
+        failures,
+        quarantine,
+        is_store_reachable,
+    )
--- /dev/null
+++ b/eelgrassgate/quarantine/evidence.py
@@ -0,0 +1,223 @@
+"""Infers from ended endpoints which prompt part crashes them.
+
+A part is suspected if it was in flight at several endpoints when they ended,
+one after the other, and no request with it has been answered completely since.
+One part explains an end: the parts of other requests at the same endpoints are
+not blamed for it. Endpoints that end together count once, since no request was
+sent to one of them because another had ended. Endpoints that end without the
+part meanwhile speak for an outage.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Final
+
+import msgspec
+
+# Consecutive ends after which a part is blamed if it explains all ends
+# meanwhile; if it explains a fraction of them, so many more are needed.
+MIN_ROUNDS: Final = 4
+# The same for a part that was in a complete response recently.
+MIN_TRUSTED_ROUNDS: Final = 6
+# Consecutive ends after which a request with the part is not sent again.
+MIN_SUSPECT_ROUNDS: Final = 2
+# Different requests that must have been in flight at the ends. The end of a
+# single request's prompt may be the cause as well, and is never blamed.
+MIN_REQUESTS: Final = 2
+# Number of ends from which parts that were in flight at exactly the same ends
+# are told apart by their position; below, further ends are awaited.
+MIN_TIED_ENDS: Final = 5
+
+
+class Exposure(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt part in flight at an endpoint when the endpoint ended.
+
+    Attributes:
+        part: Id of the part.
+        position: Index of the part in its prompt.
+        request: Hash of the id of the request that was sent last.
+        lead_s: Seconds from sending that request to the end.
+        has_output: Whether all requests with the part had produced output at
+            this endpoint.
+    """
+
+    part: str
+    position: int
+    request: int
+    lead_s: float
+    has_output: bool
+
+
+class End(msgspec.Struct, frozen=True):
+    """The end of an endpoint.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        at: Monotonic time in seconds.
+        exposures_by_part: The parts in flight.
+    """
+
+    endpoint: str
+    at: float
+    exposures_by_part: Mapping[str, Exposure]
+
+
+def merge_exposures(first: Exposure, second: Exposure) -> Exposure:
+    """Combine what two requests tell about one part at the same end."""
+    last_sent = min(first, second, key=lambda one: one.lead_s)
+    return msgspec.structs.replace(
+        last_sent, has_output=first.has_output and second.has_output
+    )
+
+
+class Streak(msgspec.Struct, frozen=True):
+    """Ends under one part since its last complete response.
+
+    Attributes:
+        part: Id of the part.
+        endpoints: Ids of the endpoints.
+        rounds: Number of ends in a row: before each, a request with the part
+            was sent after the one before.
+        requests: Hashes of different requests.
+        is_trusted: Whether a response with the part was complete recently.
+        position: Index of the part in its prompt.
+        coverage: Fraction of all ends meanwhile that the part explains.
+    """
+
+    part: str
+    endpoints: frozenset[str]
+    rounds: int
+    requests: frozenset[int]
+    is_trusted: bool
+    position: int
+    coverage: float
+
+    def is_conclusive(self) -> bool:
+        """Return whether the ends suffice to blame the part."""
+        needed = MIN_TRUSTED_ROUNDS if self.is_trusted else MIN_ROUNDS
+        return (
+            self.rounds * self.coverage >= needed
+            and len(self.requests) >= MIN_REQUESTS
+        )
+
+
+def compute_streak(
+    part: str, ends: Iterable[End], answered_at: Mapping[str, float]
+) -> Streak:
+    """Return the ends under a part.
+
+    Args:
+        part: Id of the part.
+        ends: All known ends, in order of time.
+        answered_at: Monotonic time of the last complete response by part.
+    """
+    endpoints: set[str] = set()
+    requests: set[int] = set()
+    rounds = 0
+    others = 0
+    unexplained = 0
+    position = 0
+    counted_until = float("-inf")
+    for end in ends:
+        exposure = end.exposures_by_part.get(part)
+        if exposure is None or not _is_suspect(end, exposure, answered_at):
+            unexplained += bool(endpoints)
+            continue
+        others = unexplained
+        position = exposure.position
+        endpoints.add(end.endpoint)
+        requests.add(exposure.request)
+        if end.at - exposure.lead_s > counted_until:
+            rounds += 1
+            counted_until = end.at
+    return Streak(
+        part,
+        frozenset(endpoints),
+        rounds,
+        frozenset(requests),
+        part in answered_at,
+        position,
+        len(endpoints) / max(1, len(endpoints) + others),
+    )
+
+
+def _is_suspect(
+    end: End, exposure: Exposure, answered_at: Mapping[str, float]
+) -> bool:
+    """Return whether a part may have caused an end.
+
+    A response that had begun speaks for its parts, unless no request without
+    output was in flight that could be the cause.
+    """
+    if _is_cleared(end, exposure.part, answered_at):
+        return False
+    if not exposure.has_output:
+        return True
+    return exposure.part not in answered_at and all(
+        other.has_output or _is_cleared(end, other.part, answered_at)
+        for other in end.exposures_by_part.values()
+    )
+
+
+def _is_cleared(end: End, part: str, answered_at: Mapping[str, float]) -> bool:
+    return answered_at.get(part, float("-inf")) > end.at
+
+
+def find_culprits(
+    ends: Collection[End],
+    answered_at: Mapping[str, float],
+    convicted: Collection[str] = (),
+) -> list[str]:
+    """Return the parts to blame, each for the ends that only it explains.
+
+    Args:
+        ends: All known ends, in order of time.
+        answered_at: Monotonic time of the last complete response by part.
+        convicted: Parts that are blamed already; they explain their ends.
+    """
+    culprits: list[str] = []
+    blamed = set(convicted)
+    while True:
+        unexplained = [
+            end for end in ends if blamed.isdisjoint(end.exposures_by_part)
+        ]
+        culprit = _find_culprit(unexplained, answered_at)
+        if culprit is None:
+            return culprits
+        culprits.append(culprit)
+        blamed.add(culprit)
+
+
+def _find_culprit(
+    ends: Collection[End], answered_at: Mapping[str, float]
+) -> str | None:
+    """Return the part that explains most ends; None if that is unclear."""
+    parts = {part for end in ends for part in end.exposures_by_part}
+    streaks = [
+        streak
+        for streak in (
+            compute_streak(part, ends, answered_at) for part in sorted(parts)
+        )
+        if streak.is_conclusive()
+    ]
+    if not streaks:
+        return None
+    streaks.sort(key=_get_rank, reverse=True)
+    best = streaks[0]
+    tied = [
+        other
+        for other in streaks[1:]
+        if _get_rank(other)[:2] == _get_rank(best)[:2]
+        and not other.endpoints.isdisjoint(best.endpoints)
+    ]
+    if not tied:
+        return best.part
+    # The later part of a prompt is the likelier cause: fewer requests share it.
+    is_later = all(other.position < best.position for other in tied)
+    is_enough = len(best.endpoints) >= MIN_TIED_ENDS
+    return best.part if is_enough and is_later else None
+
+
+def _get_rank(streak: Streak) -> tuple[bool, int, int]:
+    return not streak.is_trusted, len(streak.endpoints), streak.position
--- /dev/null
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -0,0 +1,351 @@
+"""Quarantine of prompt parts that crash endpoints, shared by all processes.
+
+Each process records the endpoints that ended under its requests and the parts
+of complete responses, and merges what its peers report. Quarantined parts are
+in every report, so that a process that has restarted learns of them from any
+peer.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Final
+
+import msgspec
+import xxhash
+
+from eelgrassgate import deadlines
+from eelgrassgate import logs
+from eelgrassgate.quarantine import evidence
+
+# How long requests with a blamed part are refused.
+QUARANTINE_S: Final = 600.0
+# How long ends are kept, and for how long a complete response speaks for the
+# parts of its prompt.
+MEMORY_S: Final = 60.0
+# How long an end and a complete response are reported to peers.
+REPORT_S: Final = 5.0
+# A complete response shortly before a part was blamed voids the verdict of a
+# process that did not know of it.
+DISPUTE_S: Final = 5.0
+# An endpoint needs longer than this to start again under the same id.
+MIN_RESTART_S: Final = 1.5
+# Bounds on memory and on the size of reports.
+MAX_ENDS: Final = 32
+MAX_REPORTED_EXPOSURES: Final = 16
+MAX_QUARANTINED: Final = 64
+MAX_ANSWERED: Final = 20_000
+# Longer ids are not tracked.
+MAX_PART_BYTES: Final = 64
+
+
+class EndReport(msgspec.Struct, frozen=True, array_like=True):
+    """The end of an endpoint `age_s` seconds ago."""
+
+    endpoint: str
+    age_s: float
+    exposures: tuple[evidence.Exposure, ...]
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """What one process tells its peers.
+
+    Attributes:
+        ends: Recent ends under its own requests.
+        answer_age_s_by_part: Seconds since the last complete response, of
+            suspected and quarantined parts.
+        remaining_s_by_part: Seconds left of each quarantine.
+    """
+
+    ends: tuple[EndReport, ...] = ()
+    answer_age_s_by_part: dict[str, float] = {}
+    remaining_s_by_part: dict[str, float] = {}
+
+
+class Run(msgspec.Struct, frozen=True):
+    """A request that was in flight when its endpoint ended.
+
+    Attributes:
+        request: Id of the request.
+        parts: Ids of the parts of its prompt, without its own.
+        sent_at: Monotonic time at which it was sent to the endpoint.
+        has_output: Whether it had produced output there.
+    """
+
+    request: str
+    parts: tuple[str, ...]
+    sent_at: float
+    has_output: bool
+
+
+class Quarantine:
+    """The quarantined parts, and the evidence for further ones.
+
+    Attributes:
+        until_by_part: Monotonic time at which each quarantine ends.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Initialize without evidence; see `create_quarantine`."""
+        self._clock = clock
+        self._ends: list[evidence.End] = []
+        self._own_ends: list[evidence.End] = []
+        self._answered_at_by_part: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        # Parts that reports mention, with the end of the time for which this
+        # process reports its complete responses with them.
+        self._mentioned_until_by_part: dict[str, float] = {}
+        self.until_by_part: dict[str, float] = {}
+        self._listeners: list[Callable[[str, float], None]] = []
+
+    def subscribe(self, listener: Callable[[str, float], None]) -> None:
+        """Call `listener(part, until)` for changes that this process saw.
+
+        These are parts blamed for ends under its own requests, and parts
+        released by its own complete responses; `until` is 0 for the latter.
+        """
+        self._listeners.append(listener)
+
+    def find_quarantined(self, parts: tuple[str, ...]) -> str | None:
+        """Return the first quarantined part; None if there is none."""
+        if not self.until_by_part:
+            return None
+        now = self._clock()
+        for part in parts:
+            if self.until_by_part.get(part, 0.0) > now:
+                return part
+        return None
+
+    def count_quarantined(self) -> int:
+        """Return the number of quarantined parts."""
+        return len(self.until_by_part)
+
+    def compute_remaining(self, part: str) -> float:
+        """Return the seconds left of a part's quarantine."""
+        return max(0.0, self.until_by_part.get(part, 0.0) - self._clock())
+
+    def is_suspect(self, parts: tuple[str, ...]) -> bool:
+        """Return whether endpoints ended under one of `parts` repeatedly."""
+        answered_at = self._get_answered()
+        return any(
+            evidence.compute_streak(part, self._ends, answered_at).rounds
+            >= evidence.MIN_SUSPECT_ROUNDS
+            for part in parts
+        )
+
+    def record_answer(self, parts: tuple[str, ...]) -> None:
+        """Record a complete response to a request with `parts`."""
+        now = self._clock()
+        for part in parts:
+            if len(part) > MAX_PART_BYTES:
+                continue
+            was_quarantined = part in self.until_by_part
+            self._set_answered(part, now)
+            if was_quarantined:
+                self._notify(part, 0.0)
+
+    def _set_answered(self, part: str, at: float) -> None:
+        """Record a complete response, which ends a part's quarantine."""
+        if at <= self._answered_at_by_part.get(part, float("-inf")):
+            return
+        self._answered_at_by_part[part] = at
+        self._answered_at_by_part.move_to_end(part)
+        if len(self._answered_at_by_part) > MAX_ANSWERED:
+            self._answered_at_by_part.popitem(last=False)
+        until = self.until_by_part.get(part)
+        if until is not None and at > until - QUARANTINE_S - DISPUTE_S:
+            del self.until_by_part[part]
+            self._mention(part)
+            logs.log_message("prompt part released", part=part)
+
+    def _notify(self, part: str, until: float) -> None:
+        for listener in self._listeners:
+            listener(part, until)
+
+    def record_end(self, endpoint: str, run: Run) -> None:
+        """Record that an endpoint ended while `run` was in flight there."""
+        now = self._clock()
+        exposures_by_part = {
+            part: evidence.Exposure(
+                part,
+                position,
+                xxhash.xxh32_intdigest(run.request.encode()),
+                round(now - run.sent_at, 3),
+                run.has_output,
+            )
+            for position, part in enumerate(run.parts)
+            if len(part) <= MAX_PART_BYTES
+        }
+        if not exposures_by_part:
+            return
+        end = evidence.End(endpoint, now, exposures_by_part)
+        _add_end(self._own_ends, end)
+        self._add_evidence(end)
+        self._evaluate()
+
+    def _add_evidence(self, end: evidence.End) -> None:
+        _add_end(self._ends, end)
+        for part in end.exposures_by_part:
+            self._mention(part)
+
+    def _mention(self, part: str) -> None:
+        self._mentioned_until_by_part[part] = self._clock() + REPORT_S
+
+    def merge_report(self, report: Report) -> None:
+        """Merge what a peer has reported."""
+        now = self._clock()
+        for part, age_s in report.answer_age_s_by_part.items():
+            self._set_answered(part, now - age_s)
+        for part, remaining_s in report.remaining_s_by_part.items():
+            self.adopt(part, now + remaining_s, "peer")
+        for one in report.ends:
+            self._add_evidence(
+                evidence.End(
+                    one.endpoint,
+                    now - one.age_s,
+                    {exposure.part: exposure for exposure in one.exposures},
+                )
+            )
+        if report.ends:
+            self._evaluate()
+
+    def adopt(self, part: str, until: float, source: str) -> None:
+        """Quarantine a part that another process has blamed.
+
+        Args:
+            part: Id of the part.
+            until: Monotonic time at which the quarantine ends.
+            source: Where this process learned of it.
+        """
+        if part in self.until_by_part or until <= self._clock():
+            return
+        answered_at = self._answered_at_by_part.get(part, float("-inf"))
+        if answered_at > until - QUARANTINE_S - DISPUTE_S:
+            # The peer releases the part when it hears of this response.
+            self._mention(part)
+            return
+        self._set_quarantined(part, until, source)
+
+    def _set_quarantined(self, part: str, until: float, source: str) -> None:
+        if len(self.until_by_part) >= MAX_QUARANTINED:
+            oldest = min(self.until_by_part, key=self.until_by_part.__getitem__)
+            del self.until_by_part[oldest]
+        self.until_by_part[part] = until
+        logs.log_message(
+            "prompt part quarantined",
+            part=part,
+            source=source,
+            ends=[
+                end.endpoint
+                for end in self._ends
+                if part in end.exposures_by_part
+            ],
+            quarantined=len(self.until_by_part),
+        )
+
+    def _evaluate(self) -> None:
+        """Quarantine the parts that explain the known ends."""
+        self._discard_old()
+        now = self._clock()
+        for part in evidence.find_culprits(
+            self._ends, self._get_answered(), self.until_by_part
+        ):
+            self._set_quarantined(part, now + QUARANTINE_S, "evidence")
+            if any(part in end.exposures_by_part for end in self._own_ends):
+                self._notify(part, now + QUARANTINE_S)
+
+    def _discard_old(self) -> None:
+        now = self._clock()
+        for ends in (self._ends, self._own_ends):
+            ends[:] = [end for end in ends if end.at > now - MEMORY_S]
+        for part, until in list(self.until_by_part.items()):
+            if until <= now:
+                del self.until_by_part[part]
+                logs.log_message("prompt part released", part=part)
+        for part, until in list(self._mentioned_until_by_part.items()):
+            if until <= now:
+                del self._mentioned_until_by_part[part]
+
+    def _get_answered(self) -> Mapping[str, float]:
+        """Return recent complete responses of the parts under evidence."""
+        oldest = self._clock() - MEMORY_S
+        parts = {part for end in self._ends for part in end.exposures_by_part}
+        return {
+            part: self._answered_at_by_part[part]
+            for part in parts
+            if self._answered_at_by_part.get(part, 0.0) > oldest
+        }
+
+    def build_report(self) -> Report:
+        """Return what to tell the peers."""
+        if not (
+            self._own_ends
+            or self.until_by_part
+            or self._mentioned_until_by_part
+        ):
+            return Report()
+        self._discard_old()
+        now = self._clock()
+        answered = self._answered_at_by_part
+        return Report(
+            tuple(
+                EndReport(
+                    end.endpoint,
+                    round(now - end.at, 2),
+                    tuple(
+                        exposure
+                        for part, exposure in end.exposures_by_part.items()
+                        if answered.get(part, 0.0) < end.at
+                    )[:MAX_REPORTED_EXPOSURES],
+                )
+                for end in self._own_ends
+                if end.at > now - REPORT_S
+            ),
+            {
+                part: round(now - answered[part], 2)
+                for part in self._mentioned_until_by_part
+                if answered.get(part, 0.0) > now - MEMORY_S
+            },
+            {
+                part: round(until - now, 1)
+                for part, until in self.until_by_part.items()
+            },
+        )
+
+
+def _add_end(ends: list[evidence.End], end: evidence.End) -> None:
+    """Add an end in order of time, or merge it with what is known of it."""
+    for index, known in enumerate(ends):
+        if (
+            known.endpoint == end.endpoint
+            and abs(known.at - end.at) < MIN_RESTART_S
+        ):
+            ends[index] = _merge_ends(known, end)
+            return
+    ends.append(end)
+    ends.sort(key=lambda one: one.at)
+    del ends[:-MAX_ENDS]
+
+
+def _merge_ends(known: evidence.End, other: evidence.End) -> evidence.End:
+    merged = dict(known.exposures_by_part)
+    for part, exposure in other.exposures_by_part.items():
+        previous = merged.get(part)
+        merged[part] = (
+            exposure
+            if previous is None
+            else evidence.merge_exposures(previous, exposure)
+        )
+    return evidence.End(known.endpoint, known.at, merged)
+
+
+def create_quarantine(
+    clock: Callable[[], float] = deadlines.now,
+) -> Quarantine:
+    """Create a quarantine without evidence.
+
+    Args:
+        clock: Returns seconds on a monotonic clock.
+    """
+    return Quarantine(clock)
--- /dev/null
+++ b/eelgrassgate/quarantine/storage.py
@@ -0,0 +1,113 @@
+"""Keeps quarantined prompt parts in the key-value service.
+
+They outlive a restart of all processes at once. A process reads them once when
+it starts; later ones arrive in the reports of its peers.
+"""
+
+import time
+from typing import Final
+import urllib.parse
+
+import anyio
+import msgspec
+from returns import result
+
+from eelgrassgate import deadlines
+from eelgrassgate import logs
+from eelgrassgate.quarantine import quarantine as quarantine_lib
+from eelgrassgate.store import base
+
+PREFIX: Final = "eelgrassgate/quarantine/"
+RETRY_DELAY_S: Final = 1.0
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A quarantined part and the wall-clock time in seconds of its end."""
+
+    part: str
+    until: float
+
+
+class Storage:
+    """Reads and writes the quarantined parts."""
+
+    def __init__(
+        self, store: base.Store, quarantine: quarantine_lib.Quarantine
+    ) -> None:
+        """Initialize without reading; see `create_storage`."""
+        self._store = store
+        self._quarantine = quarantine
+        # Parts to write, with the end of their quarantine; 0 to delete them.
+        self._unsaved_until_by_part: dict[str, float] = {}
+        self._has_unsaved = anyio.Event()
+        quarantine.subscribe(self._save)
+
+    def _save(self, part: str, until: float) -> None:
+        self._unsaved_until_by_part[part] = until
+        self._has_unsaved.set()
+
+    async def run(self) -> None:
+        """Read once, then write changes until cancelled."""
+        while not await self._read():
+            await anyio.sleep(RETRY_DELAY_S)
+        while True:
+            await self._has_unsaved.wait()
+            self._has_unsaved = anyio.Event()
+            while self._unsaved_until_by_part:
+                if not await self._write():
+                    await anyio.sleep(RETRY_DELAY_S)
+
+    async def _read(self) -> bool:
+        """Adopt what is stored; return whether the store responded."""
+        page = await self._store.read_range(PREFIX)
+        if isinstance(page, result.Failure):
+            logs.log_message(
+                "quarantine:read_failed", reason=page.failure().message
+            )
+            return False
+        for record in page.unwrap().records:
+            try:
+                entry = msgspec.json.decode(record.value, type=Entry)
+            except msgspec.MsgspecError as error:
+                logs.log_message("quarantine:invalid", reason=str(error))
+                continue
+            remaining_s = entry.until - time.time()
+            self._quarantine.adopt(
+                entry.part, deadlines.after(remaining_s), "store"
+            )
+        return True
+
+    async def _write(self) -> bool:
+        """Write one change; return whether the store responded."""
+        part, until = next(iter(self._unsaved_until_by_part.items()))
+        key = PREFIX + urllib.parse.quote(part, safe="")
+        change: base.Write | base.Delete = base.Delete(key)
+        preconditions: tuple[base.Precondition, ...] = ()
+        lease = 0
+        if until:
+            remaining_s = deadlines.compute_remaining(until)
+            granted = await self._store.grant_lease(remaining_s)
+            if isinstance(granted, result.Failure):
+                return False
+            lease = granted.unwrap().lease
+            entry = Entry(part, time.time() + remaining_s)
+            change = base.Write(key, msgspec.json.encode(entry), lease)
+            # Another process may have written the part already.
+            preconditions = (base.Precondition(key, 0),)
+        committed = await self._store.commit(
+            base.Transaction(preconditions, (change,))
+        )
+        if isinstance(committed, result.Failure):
+            return False
+        if lease and not committed.unwrap().is_done:
+            await self._store.revoke_lease(lease)
+        if self._unsaved_until_by_part.get(part) == until:
+            del self._unsaved_until_by_part[part]
+        return True
+
+
+def create_storage(
+    store: base.Store, quarantine: quarantine_lib.Quarantine
+) -> Storage:
+    """Create the storage of a process's quarantine."""
+    return Storage(store, quarantine)
--- a/tests/site.py
+++ b/tests/site.py
@@ -22,6 +22,7 @@
 from eelgrassgate.peering import loads
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import dialect
+from eelgrassgate.quarantine import quarantine
 from eelgrassgate.standins import endpoint
 from eelgrassgate.store import base
 from eelgrassgate.store import memory
@@ -194,6 +195,7 @@
             {"z1": "r1", "z2": "r1", "z3": "r2"},
         )
         self.pool = upstream.create_pool(0.5)
+        self.quarantine = quarantine.create_quarantine()
         self.admitted: list[str] = []
         self.rates = rates_lib.create_rates(self.admitted.append)
         self.metrics = metrics_lib.create_metrics()
@@ -215,6 +217,7 @@
                 self.pool,
                 self.placement,
                 self.loads,
+                self.quarantine,
                 self.metrics,
             ),
             batches,
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -25,6 +25,7 @@
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 from eelgrassgate.platform import dialect
+from eelgrassgate.quarantine import quarantine
 from eelgrassgate.standins import endpoint
 from eelgrassgate.store import base
 from eelgrassgate.store import faulty
@@ -314,6 +315,7 @@
             self.loads, failures.create_failures(), "z1", {"z1": "r1"}
         )
         self.pool = upstream.create_pool(0.5)
+        self.quarantine = quarantine.create_quarantine()
         self.watched = mirror.create_mirror(
             self.store, records.OPEN, batch_delay_s=0.01
         )
@@ -342,6 +344,7 @@
             self.pool,
             self.placement,
             self.loads,
+            self.quarantine,
             lambda: self.catalog,
             metrics_lib.create_metrics(),
         )
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -24,6 +24,7 @@
 from eelgrassgate.peering import relay
 from eelgrassgate.peering import reports
 from eelgrassgate.platform import kv
+from eelgrassgate.quarantine import quarantine
 from eelgrassgate.standins import kv as kv_standin
 from eelgrassgate.store import base
 from eelgrassgate.store import faulty
@@ -71,7 +72,12 @@
     table = loads.create_loads()
     own = directory.members_by_name[name]
     exchange = reports.create_reports(
-        own, directory, table, failures.create_failures(), lambda: True
+        own,
+        directory,
+        table,
+        failures.create_failures(),
+        quarantine.create_quarantine(),
+        lambda: True,
     )
     return exchange, table
 
