Break off a stream that ends within an event

A stream whose response had neither length nor chunks and ended within an event reached its caller as a complete response, if its route may not be resumed.

Cause: such a response ends with its connection, and the end of the connection was taken as the end of the stream. Only resumable streams were read event by event. All streams are now; one that ends within an event, or without any, has broken off.

Evidence: two of the cases of tests.test_unframed_responses failed before (a stream closed within an event, and within the first); the others, plain responses and resets among them, passed.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -366,8 +366,8 @@
             raise upstream.ExchangeError("stream was not resumed", True)
         if status in SUCCESS_STATUSES and not info.is_signed:
             raise upstream.ExchangeError("response has no checksum", True)
-        is_resumable = route.kind is catalog.Kind.STREAM and route.is_resumable
-        if is_resumable and status in SUCCESS_STATUSES:
+        is_stream = route.kind is catalog.Kind.STREAM
+        if is_stream and status in SUCCESS_STATUSES:
             return await self._forward_events(
                 connection, responder, progress, idle_timeout_s
             )
@@ -454,7 +454,9 @@
     ) -> Result:
         """Forward complete events, so that the stream can resume after any.
 
-        The head of the response is that of the first endpoint.
+        A response that ends within an event or without any has broken off,
+        even if its framing is complete. The head of the response is that of
+        the first endpoint.
         """
         splitter = events.Splitter()
         with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -127,6 +127,10 @@
         """Send raw bytes outside of HTTP framing; for stand-ins only."""
         await self._write(data)
 
+    async def reset(self) -> None:
+        """Reset the connection; for stand-ins only."""
+        await sockets.reset(self._stream)
+
     async def reply(
         self,
         status: int,
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 from typing import Any
 from typing import Final
 
@@ -17,6 +18,9 @@
 # and a few retransmissions.
 USER_TIMEOUT_MS: Final = 2_500
 
+# `struct linger`: enabled, with a timeout of 0, so that closing resets.
+NO_LINGER: Final = struct.pack("ii", 1, 0)
+
 TCP_OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -69,6 +73,13 @@
     return bool(poll.poll(0))
 
 
+async def reset(stream: abc.SocketStream) -> None:
+    """Close a connection with a reset instead of an end of stream."""
+    raw: Any = stream.extra(abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    await abort(stream)
+
+
 async def abort(stream: abc.AsyncResource) -> None:
     """Close a connection immediately and discard unsent data."""
     with anyio.CancelScope(shield=True):
--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -4,6 +4,7 @@
 checksum of the request in a header. `Behavior` selects the faults.
 """
 
+import enum
 import hashlib
 from typing import Final
 
@@ -16,6 +17,22 @@
 OK_STATUS: Final = 200
 MISDIRECTED_STATUS: Final = 421
 UNAVAILABLE_STATUS: Final = 503
+RESET_DELAY_S: Final = 0.05
+
+
+class UnframedEnd(enum.Enum):
+    """How the connection ends after a response without length and chunks.
+
+    Attributes:
+        CLOSE: It is closed after the last event.
+        CLOSE_WITHIN_EVENT: It is closed within the event that follows
+            `Behavior.abort_after_events`.
+        RESET: It is reset after `Behavior.abort_after_events`.
+    """
+
+    CLOSE = "close"
+    CLOSE_WITHIN_EVENT = "close_within_event"
+    RESET = "reset"
 
 
 class Behavior(msgspec.Struct):
@@ -35,6 +52,8 @@
         endless: Bytes to send first, and bytes to send then again and again
             until the caller closes; None for complete responses.
         endless_delay_s: Delay before each of the repeated bytes.
+        unframed_end: How a response without length and chunks ends; None for
+            framed responses.
         crashing_part: Id of the prompt part under which the endpoint ends as
             soon as it has sent the head of its response.
     """
@@ -49,6 +68,7 @@
     has_late_response: bool = False
     endless: tuple[bytes, bytes] | None = None
     endless_delay_s: float = 0.0
+    unframed_end: UnframedEnd | None = None
     crashing_part: str = ""
 
 
@@ -153,6 +173,9 @@
                 b"HTTP/1.1 200 OK\r\nrequest-id: another\r\n"
                 b"content-length: 4\r\n\r\nlate"
             )
+        if behavior.unframed_end is not None:
+            await self._send_unframed(run, headers, responder)
+            return
         await responder.begin(OK_STATUS, headers)
         if behavior.crashing_part and behavior.crashing_part in run.parts:
             self._crash.set()
@@ -170,6 +193,31 @@
         await responder.finish()
         run.is_ended = True
 
+    async def _send_unframed(
+        self,
+        run: Run,
+        headers: list[tuple[bytes, bytes]],
+        responder: downstream.Responder,
+    ) -> None:
+        """Send a response that ends with its connection."""
+        behavior = self.behavior
+        lines = b"".join(b"%b: %b\r\n" % header for header in headers)
+        await responder.send_raw(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n")
+        last = behavior.events
+        if behavior.unframed_end is not UnframedEnd.CLOSE:
+            last = behavior.abort_after_events or 0
+        for number in range(run.first, last + 1):
+            await anyio.sleep(behavior.event_delay_s)
+            await responder.send_raw(write_event(number))
+        if behavior.unframed_end is UnframedEnd.CLOSE_WITHIN_EVENT:
+            await responder.send_raw(b"id: %d\nda" % (last + 1))
+        if behavior.unframed_end is UnframedEnd.RESET:
+            # Lets the caller read what was sent.
+            await anyio.sleep(RESET_DELAY_S)
+            await responder.reset()
+        run.is_ended = behavior.unframed_end is UnframedEnd.CLOSE
+        responder.is_closing = True
+
     async def _send_endless(
         self, start: bytes, repeated: bytes, responder: downstream.Responder
     ) -> None:
