Run a batch item again whose response ended without any event

An item whose response had neither length nor chunks and ended before its first event was listed as completed with an empty text.

Cause: the end of the connection was taken as the end of the output, and nothing asked whether there was any. Such a run now counts as broken, and the item runs again.

Evidence: the case of tests.test_unframed_responses.BatchTest (closed without events) failed before with ('completed', '').

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -191,6 +191,8 @@
             progress.last_event = event.id or progress.last_event
             if event.data is not None:
                 progress.event_data.append(event.data)
+    if not progress.last_event and not progress.event_data:
+        return Outcome.BROKEN, "stream ended before the first event"
     if splitter.has_partial_event():
         return Outcome.BROKEN, "stream ended within an event"
     return Outcome.COMPLETE, ""
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from eelgrassgate.batches import records
 from eelgrassgate.standins import endpoint
 from tests import site as site_lib
+from tests import test_batches
 
 End = endpoint.UnframedEnd
 COMPLETE_BODY: Final = endpoint.write_stream(4)
@@ -108,3 +110,31 @@
                 self.assertIn(b"response-signature", response.headers)
             if case.status == 200 and case.is_complete:
                 self.assertEqual(response.body, COMPLETE_BODY)
+
+
+class BatchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_broken_unframed_response_is_no_result(self) -> None:
+        for end, events in (
+            (End.CLOSE, 4),
+            (End.CLOSE, 0),
+            (End.CLOSE_WITHIN_EVENT, 2),
+            (End.CLOSE_WITHIN_EVENT, 0),
+            (End.RESET, 2),
+            (End.RESET, 0),
+        ):
+            with self.subTest(end.value, events=events):
+                await self.run_item(make_behavior(end, events))
+
+    async def run_item(self, behavior: endpoint.Behavior) -> None:
+        async with test_batches.open_harness() as harness:
+            first, second = harness.endpoints
+            harness.loads.set_peer_counts("x", {second.name: 4}, {})
+            first.behavior = behavior
+            await test_batches.submit(harness.store, 1)
+            await harness.wait(lambda: bool(first.runs))
+            harness.loads.set_peer_counts("x", {first.name: 6}, {})
+            result = (await harness.read_all())["i0"]
+            self.assertEqual(
+                (result.state, result.text),
+                (records.COMPLETED, test_batches.TEXT),
+            )
