Log and count the limits that endpoints name

The logs could not tell whether a limit that an endpoint named in its responses changed anything. Attempts and runs of items now log the limit known of their endpoint, changes of it have a line of their own, and a gauge counts the limited endpoints. Placement is unchanged.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -9,6 +9,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import idle_timeout
 from eelgrassgate.http1 import upstream
@@ -79,6 +80,7 @@
     deadline: float,
     progress: Progress,
     record_activity: Callable[[], None],
+    endpoint_limits: endpoint_limits_lib.EndpointLimits,
 ) -> tuple[Outcome, str]:
     """Run an item until it ends or the run fails; updates `progress`.
 
@@ -93,6 +95,7 @@
         endpoint.id, workspace, deadline, progress.last_event or None
     )
     request = dialect.write_attempt(call, attempt)
+    sent_at = deadlines.now()
     try:
         async with pool.use(endpoint.address) as connection:
             connection.on_receive = record_activity
@@ -103,8 +106,13 @@
                         dialect.read_response_info(head, call.id).is_for_request
                     ),
                 )
+                info = dialect.read_response_info(connection.head, call.id)
+                if not info.is_misdirected:
+                    endpoint_limits.record_response(
+                        endpoint.id, info.limit_per_s, sent_at
+                    )
                 return await _read_response(
-                    dialect, connection, reset_timeout, progress
+                    info, connection, reset_timeout, progress
                 )
     except upstream.ExchangeError as error:
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
@@ -150,7 +158,7 @@
 
 
 async def _read_response(
-    dialect: calls.Dialect,
+    info: calls.ResponseInfo,
     connection: upstream.Connection,
     reset_timeout: Callable[[float], None],
     progress: Progress,
@@ -162,7 +170,6 @@
             was complete.
     """
     head = connection.head
-    info = dialect.read_response_info(head, progress.item.id)
     if info.has_not_run:
         await connection.discard_body()
         return Outcome.NOT_RUN, f"status {head.status}"
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -523,6 +523,7 @@
                     deadline,
                     run.progress,
                     record_activity,
+                    self._placement.endpoint_limits,
                 )
                 if outcome is items.Outcome.BROKEN:
                     await self._check_endpoint(
@@ -590,6 +591,9 @@
             reason=reason,
             last_event=progress.last_event,
             took_ms=round((deadlines.now() - run.started_at) * 1000),
+            limit_per_s=self._placement.endpoint_limits.get_limit(
+                run.endpoint.id
+            ),
         )
         self._metrics.count_run(
             "gave way" if run.is_preempted else outcome.value
--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -69,12 +69,15 @@
         is_misdirected: Whether the address now belongs to another endpoint.
         is_signed: Whether the response carries the checksum of the endpoint's
             application.
+        limit_per_s: Requests a second that the endpoint takes from all callers
+            together; None if it names no limit.
     """
 
     is_for_request: bool
     has_not_run: bool
     is_misdirected: bool
     is_signed: bool
+    limit_per_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -326,6 +326,7 @@
             status=status,
             reason=reason,
             took_ms=round(took_s * deadlines.MS_PER_S),
+            limit_per_s=self._placement.endpoint_limits.get_limit(endpoint.id),
         )
 
     async def _exchange(
@@ -346,6 +347,7 @@
         """
         request = self._dialect.write_attempt(call, attempt)
         progress.is_in_flight = True
+        sent_at = deadlines.now()
         with idle_timeout.fail_when_idle(idle_timeout_s):
             await connection.start(
                 request,
@@ -356,6 +358,10 @@
                 ),
             )
         info = self._dialect.read_response_info(connection.head, call.id)
+        if not info.is_misdirected:
+            self._placement.endpoint_limits.record_response(
+                attempt.endpoint, info.limit_per_s, sent_at
+            )
         if info.has_not_run:
             progress.is_in_flight = False
             await connection.discard_body()
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -91,6 +91,14 @@
             registry=self._registry,
         ).set_function(count_parts)
 
+    def observe_endpoint_limits(self, count_limited: Callable[[], int]) -> None:
+        """Show the number of endpoints that name a limit."""
+        prometheus_client.Gauge(
+            "eelgrassgate_limited_endpoints",
+            "Endpoints that name a limit in their responses.",
+            registry=self._registry,
+        ).set_function(count_limited)
+
     def count_request(self, workspace: str, route: str, status: int) -> None:
         """Count a request by its response status."""
         self._requests.labels(
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -14,6 +14,7 @@
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import config_sync
 from eelgrassgate.gateway import discovery as discovery_lib
+from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import settings
@@ -116,9 +117,12 @@
         adapters.store.set_relays(self.reports.get_relays)
         self.relay = relay.create_relay(node_settings.store_address)
         self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
+        self.endpoint_limits = endpoint_limits.create_endpoint_limits()
+        self.metrics.observe_endpoint_limits(self.endpoint_limits.count_limited)
         self.placement = placement_lib.create_placement(
             self.loads,
             self.failures,
+            self.endpoint_limits,
             node_settings.zone,
             node_settings.region_by_zone,
         )
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -12,6 +12,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
 from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
 
@@ -58,12 +59,17 @@
 
 
 class Placement:
-    """Chooses endpoints by load, distance and recent failures."""
+    """Chooses endpoints by load, distance and recent failures.
+
+    Attributes:
+        endpoint_limits: The limits that endpoints have named.
+    """
 
     def __init__(
         self,
         load_table: loads.Loads,
         failures: failures_lib.Failures,
+        endpoint_limits: endpoint_limits_lib.EndpointLimits,
         zone: str,
         region_by_zone: Mapping[str, str],
         clock: Callable[[], float],
@@ -71,6 +77,7 @@
         """Initialize without endpoints; see `create_placement`."""
         self._loads = load_table
         self._failures = failures
+        self.endpoint_limits = endpoint_limits
         self._zone = zone
         self._region_by_zone = region_by_zone
         self._clock = clock
@@ -93,6 +100,7 @@
             if name not in endpoints:
                 del self._backoffs_by_endpoint[name]
         self._failures.retain_endpoints(endpoints)
+        self.endpoint_limits.retain_endpoints(endpoints)
 
     def get_endpoints(self, service: str) -> list[catalog.Endpoint]:
         """Return the endpoints of a service that accept new requests."""
@@ -233,6 +241,7 @@
 def create_placement(
     load_table: loads.Loads,
     failures: failures_lib.Failures,
+    endpoint_limits: endpoint_limits_lib.EndpointLimits,
     zone: str,
     region_by_zone: Mapping[str, str],
     clock: Callable[[], float] = deadlines.now,
@@ -242,8 +251,11 @@
     Args:
         load_table: Requests in flight by endpoint.
         failures: Failure rates of endpoints.
+        endpoint_limits: The limits that endpoints have named.
         zone: Availability zone of this process.
         region_by_zone: Region of each availability zone.
         clock: Returns seconds on a monotonic clock.
     """
-    return Placement(load_table, failures, zone, region_by_zone, clock)
+    return Placement(
+        load_table, failures, endpoint_limits, zone, region_by_zone, clock
+    )
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -1,9 +1,11 @@
 """Requests, responses and headers of the users' protocol."""
 
+import math
 from typing import Final
 import urllib.parse
 
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate.gateway import calls
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
@@ -20,6 +22,9 @@
 NOT_EXECUTED: Final = b"not-executed"
 # The application's checksum of the response.
 SIGNATURE: Final = b"response-signature"
+# Requests a second that the endpoint takes from all callers together, for as
+# long as its responses have the header.
+SERVER_LIMIT: Final = b"server-limit"
 LAST_EVENT_ID: Final = b"last-event-id"
 RETRY_AFTER: Final = b"retry-after"
 # Milliseconds that a caller waits for a new result of a job (long polling).
@@ -123,6 +128,7 @@
             is_misdirected or head.get(NOT_EXECUTED) is not None,
             is_misdirected,
             head.get(SIGNATURE) is not None,
+            _parse_limit(head.get(SERVER_LIMIT)),
         )
 
     def filter_response_headers(self, head: upstream.Head) -> upstream.Headers:
@@ -166,6 +172,20 @@
     return int(value)
 
 
+def _parse_limit(value: bytes | None) -> float | None:
+    """Parse a rate; a value that is no rate counts as absent."""
+    if value is None:
+        return None
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        limit_per_s = math.nan
+    if not (math.isfinite(limit_per_s) and limit_per_s >= 0.0):
+        logs.log_message("endpoint:limit_invalid", value=repr(value))
+        return None
+    return limit_per_s
+
+
 def _parse_api_key(value: bytes | None) -> str | None:
     text = (value or b"").decode("latin-1").strip()
     if not text.lower().startswith(BEARER):
--- a/tests/load_peaks.py
+++ b/tests/load_peaks.py
@@ -14,6 +14,7 @@
 
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import load_shedding
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.peering import failures
@@ -84,6 +85,7 @@
         placement = placement_lib.create_placement(
             self._tables[number],
             failures.create_failures(clock=self._get_now),
+            endpoint_limits.create_endpoint_limits(self._get_now),
             ZONES[number % 6],
             REGION_BY_ZONE,
             self._get_now,
--- a/tests/site.py
+++ b/tests/site.py
@@ -11,6 +11,7 @@
 
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import forwarding
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
@@ -191,6 +192,7 @@
         self.placement = placement_lib.create_placement(
             self.loads,
             self.failures,
+            endpoint_limits.create_endpoint_limits(),
             "z1",
             {"z1": "r1", "z2": "r1", "z3": "r2"},
         )
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -18,6 +18,7 @@
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import upstream
@@ -312,7 +313,11 @@
         self.endpoints = [endpoint.create_endpoint(name) for name in names]
         self.loads = loads.create_loads()
         self.placement = placement_lib.create_placement(
-            self.loads, failures.create_failures(), "z1", {"z1": "r1"}
+            self.loads,
+            failures.create_failures(),
+            endpoint_limits.create_endpoint_limits(),
+            "z1",
+            {"z1": "r1"},
         )
         self.pool = upstream.create_pool(0.5)
         self.quarantine = quarantine.create_quarantine()
@@ -620,6 +625,7 @@
                 placement = placement_lib.create_placement(
                     table,
                     failures.create_failures(),
+                    endpoint_limits.create_endpoint_limits(),
                     "z1",
                     {"z1": "r1", "z2": "r1", "z3": "r2"},
                 )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from eelgrassgate import outcomes
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.peering import failures
@@ -35,7 +36,14 @@
     table: loads.Loads, clock: Clock, *endpoints: catalog.Endpoint
 ) -> placement_lib.Placement:
     seen = failures.create_failures(clock=clock)
-    placement = placement_lib.create_placement(table, seen, "z1", ZONES, clock)
+    placement = placement_lib.create_placement(
+        table,
+        seen,
+        endpoint_limits.create_endpoint_limits(clock),
+        "z1",
+        ZONES,
+        clock,
+    )
     placement.set_endpoints({one.id: one for one in endpoints})
     return placement
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,6 +20,7 @@
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
 from eelgrassgate.http1 import downstream
+from eelgrassgate.http1 import upstream
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import boot
 from eelgrassgate.platform import dialect
@@ -217,6 +218,21 @@
                 self.assertEqual(call.prompt_parts, expected)
         self.assertEqual(self.read().prompt_parts, ())
 
+    def test_limit_of_an_endpoint(self) -> None:
+        for value, expected in (
+            (b"2.25", 2.25),
+            (b"0", 0.0),
+            (b"", None),
+            (b"-1", None),
+            (b"nan", None),
+            (b"inf", None),
+            (b"many", None),
+        ):
+            with self.subTest(value):
+                head = upstream.Head(200, ((b"server-limit", value),))
+                info = dialect.PlatformDialect().read_response_info(head, "r")
+                self.assertEqual(info.limit_per_s, expected)
+
     def test_invalid_headers(self) -> None:
         for value in (b"", b"x", b"-5", b"1.5"):
             call = self.read((b"time-remaining", value))
