--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -52,6 +52,8 @@
         endless: Bytes to send first, and bytes to send then again and again
             until the caller closes; None for complete responses.
         endless_delay_s: Delay before each of the repeated bytes.
+        limit_per_s: The limit that responses name, in requests a second; None
+            for none.
         unframed_end: How a response without length and chunks ends; None for
             framed responses.
         crashing_part: Id of the prompt part under which the endpoint ends as
@@ -68,6 +70,7 @@
     has_late_response: bool = False
     endless: tuple[bytes, bytes] | None = None
     endless_delay_s: float = 0.0
+    limit_per_s: float | None = None
     unframed_end: UnframedEnd | None = None
     crashing_part: str = ""
 
@@ -163,6 +166,8 @@
         headers = [(b"request-id", call)]
         if not behavior.is_unsigned:
             headers.append((b"response-signature", _sign(incoming.body)))
+        if behavior.limit_per_s is not None:
+            headers.append((b"server-limit", b"%.3f" % behavior.limit_per_s))
         if behavior.status != OK_STATUS:
             run.is_ended = True
             await responder.reply(behavior.status, headers)
