Move rendezvous hashing and the token bucket to modules of their own

The limits of endpoints need both: gateways agree on who may use a limit, and count with a bucket. The bucket stood in logs and in gateway.rates, the order of members in batches. No change of behaviour.

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -10,11 +10,11 @@
 from eelgrassgate.batches import owner as owner_lib
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
-from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import discovery
 from eelgrassgate.gateway import node as node_lib
 from eelgrassgate.gateway import settings
 from eelgrassgate.peering import registry
+from eelgrassgate.peering import rendezvous
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
@@ -89,9 +89,7 @@
             for name in absent if own in members else ():
                 self._other_retirements.discard(name)
                 batches = self._node.directory.get_names(registry.Role.BATCH)
-                order = scheduling.rank_owners(
-                    name, batches, owner_lib.compute_weight
-                )
+                order = rendezvous.rank_members(name, batches)
                 if order[:1] == [own]:
                     await self._report_retirement(name, is_complete=True)
                     logs.log_message(
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -10,7 +10,6 @@
 from anyio import abc
 import msgspec
 from returns import result
-import xxhash
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
@@ -28,6 +27,7 @@
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
+from eelgrassgate.peering import rendezvous
 from eelgrassgate.peering import reports as reports_lib
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.store import base
@@ -229,7 +229,7 @@
                 self._unclaimed_since_by_job.pop(name, None)
                 continue
             since = self._unclaimed_since_by_job.setdefault(name, now)
-            order = scheduling.rank_owners(name, members, compute_weight)
+            order = rendezvous.rank_members(name, members)
             turn = len(order)
             if self._member.name in order:
                 turn = order.index(self._member.name)
@@ -246,7 +246,7 @@
         """Close cancelled jobs for which this member is the preferred owner."""
         members = self._directory.get_names(registry.Role.BATCH)
         for name in list(self._cancelled_jobs - self._closed_jobs):
-            order = scheduling.rank_owners(name, members, compute_weight)
+            order = rendezvous.rank_members(name, members)
             if order and order[0] == self._member.name:
                 self._closed_jobs.add(name)
                 tasks.start_soon(self._close_job, name)
@@ -412,7 +412,7 @@
             for name in self._directory.get_names(registry.Role.BATCH)
             if members[name].zone == endpoint.zone
         ]
-        order = scheduling.rank_owners(endpoint.id, near, compute_weight)
+        order = rendezvous.rank_members(endpoint.id, near)
         return bool(order) and order[0] == self._member.name
 
     def _rank_waiting(
@@ -665,7 +665,7 @@
         """Return how many of the preempted items this process must stop."""
 
         def compute_rank(name: str) -> int:
-            return compute_weight(name, endpoint)
+            return rendezvous.compute_weight(name, endpoint)
 
         return scheduling.count_own_share(
             excess,
@@ -715,11 +715,6 @@
     return "", ""
 
 
-def compute_weight(member: str, job: str) -> int:
-    """Return the rendezvous hashing weight of a member for a job."""
-    return int(xxhash.xxh64_intdigest(f"{member} {job}".encode()))
-
-
 def create_owner(
     store: base.Store,
     open_mirror: mirror.Mirror,
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -11,12 +11,11 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
-from eelgrassgate.batches import owner as owner_lib
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
-from eelgrassgate.batches import scheduling
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import registry
+from eelgrassgate.peering import rendezvous
 from eelgrassgate.store import base
 
 # Bound of each cache, a tenth of a small instance's memory. Cached values are
@@ -123,9 +122,7 @@
             for name in self._directory.get_names(registry.Role.BATCH)
             if self._is_reachable(name)
         ]
-        order = scheduling.rank_owners(
-            records.quote(job), names, owner_lib.compute_weight
-        )
+        order = rendezvous.rank_members(records.quote(job), names)
         known = self._owners_by_job.get(job)
         if known in order:
             order.remove(known)
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Final
 
@@ -171,12 +170,3 @@
         if compute_rank(name) < own_rank
     )
     return max(0, min(own, excess - before))
-
-
-def rank_owners(
-    job: str, members: Iterable[str], compute_weight: Callable[[str, str], int]
-) -> list[str]:
-    """Return members by rendezvous hashing, the preferred owner first."""
-    return sorted(
-        members, key=lambda name: compute_weight(name, job), reverse=True
-    )
--- a/eelgrassgate/gateway/rates.py
+++ b/eelgrassgate/gateway/rates.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import token_bucket
 from eelgrassgate.gateway import catalog
 from eelgrassgate.peering import reports
 
@@ -27,13 +28,6 @@
 MAX_NEW_PEER_UPTIME_S: Final = 2.0
 
 
-class _Bucket(msgspec.Struct):
-    """A token bucket: the tokens at the time of the last update."""
-
-    tokens: float
-    updated_at: float
-
-
 class _PeerUsage(msgspec.Struct):
     """What another gateway has reported since its start.
 
@@ -65,7 +59,7 @@
         self._usage_by_peer: dict[str, _PeerUsage] = {}
         self._clock = clock
         self._workspaces_by_name: dict[str, catalog.Workspace] = {}
-        self._buckets_by_name: dict[str, _Bucket] = {}
+        self._buckets_by_name: dict[str, token_bucket.TokenBucket] = {}
         self.share = 1.0
 
     def configure(self, current: catalog.Catalog) -> None:
@@ -112,18 +106,17 @@
             if workspace is not None and workspace.rate_per_s > 0:
                 self._refill(workspace).tokens -= admitted - counted
 
-    def _refill(self, workspace: catalog.Workspace) -> _Bucket:
+    def _refill(self, workspace: catalog.Workspace) -> token_bucket.TokenBucket:
         now = self._clock()
         # The bucket must hold the tokens of at least one request.
         capacity = max(1.0 / self.share, workspace.burst)
         bucket = self._buckets_by_name.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(capacity * INITIAL_FILL, now)
+            bucket = token_bucket.TokenBucket(capacity * INITIAL_FILL, now)
             self._buckets_by_name[workspace.name] = bucket
-        gained = (now - bucket.updated_at) * workspace.rate_per_s
+        bucket.refill(now, workspace.rate_per_s, capacity)
         # Delayed reports can make the level negative, down to one burst.
-        bucket.tokens = max(-capacity, min(capacity, bucket.tokens + gained))
-        bucket.updated_at = now
+        bucket.tokens = max(-capacity, bucket.tokens)
         return bucket
 
 
--- a/eelgrassgate/logs.py
+++ b/eelgrassgate/logs.py
@@ -9,6 +9,8 @@
 import eliot
 import msgspec
 
+from eelgrassgate import token_bucket
+
 # Writes to a pipe are atomic up to 4,096 bytes (PIPE_BUF on Linux).
 MAX_LINE_BYTES: Final = 4_000
 # Limit for each message kind. An instance handles at most about 200 requests
@@ -23,13 +25,6 @@
 _ENCODER: Final = msgspec.json.Encoder(enc_hook=str)
 
 
-class _TokenBucket(msgspec.Struct):
-    """Token bucket that limits the lines of one message kind."""
-
-    tokens: float
-    updated_at: float
-
-
 class Writer:
     """An Eliot destination that drops lines instead of blocking."""
 
@@ -37,7 +32,7 @@
         """Write to a file descriptor; `fields` are added to each line."""
         self._file = file
         self._fields = fields
-        self._buckets_by_kind: dict[str, _TokenBucket] = {}
+        self._buckets_by_kind: dict[str, token_bucket.TokenBucket] = {}
         self._dropped_by_kind: dict[str, int] = {}
         self._next_drop_report_at = 0.0
         os.set_blocking(file, False)
@@ -61,11 +56,9 @@
     def _can_write(self, kind: str, now: float) -> bool:
         bucket = self._buckets_by_kind.get(kind)
         if bucket is None:
-            bucket = _TokenBucket(MAX_BURST_LINES, now)
+            bucket = token_bucket.TokenBucket(MAX_BURST_LINES, now)
             self._buckets_by_kind[kind] = bucket
-        refill = (now - bucket.updated_at) * MAX_LINES_PER_S
-        bucket.tokens = min(MAX_BURST_LINES, bucket.tokens + refill)
-        bucket.updated_at = now
+        bucket.refill(now, MAX_LINES_PER_S, MAX_BURST_LINES)
         if bucket.tokens < 1.0:
             return False
         bucket.tokens -= 1.0
