Keep the limits of requests a second that endpoints name

Cause: nothing read the limit; endpoints were chosen by load, distance and failures alone. Each limit is now divided among a few processes near the endpoint, which count the requests that they send there; all others choose other endpoints. A request for which none is left is refused at once.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -492,6 +492,7 @@
     ) -> None:
         owned.waiting.remove(progress)
         owned.running[progress.item.id] = progress
+        self._placement.record_sending(endpoint)
         run = _Run(
             owned, progress, endpoint, anyio.CancelScope(), deadlines.now()
         )
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -103,7 +103,7 @@
 
     Endpoints that fail many runs are skipped while there is any other, even
     one that is full: an item can wait, but becomes a dead letter after a few
-    failures.
+    failures. Endpoints that name a limit get items only if all do.
 
     Args:
         placement: The known endpoints and their health.
@@ -123,6 +123,8 @@
     for endpoint in healthy or endpoints:
         if placement.is_in_backoff(endpoint.id):
             continue
+        if placement.compute_limit_wait(endpoint):
+            continue
         used = load_table.count_in_flight(endpoint.id)
         spare = get_spare_slots(load_table, endpoint)
         if used + spare >= endpoint.slots or not can_use(endpoint):
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -172,11 +172,17 @@
                 )
                 return
             retry_after_s = load_shedding.compute_retry_delay(
-                choice.wait_s, route.objective_s
+                choice.wait_s, choice.limit_wait_s, route.objective_s
             )
             if retry_after_s is not None and not progress.may_have_run:
                 await self._refuse(call, choice, retry_after_s, responder)
                 return
+            if choice.limit_wait_s:
+                await self._reply_failure(
+                    call, progress, responder, "endpoints limited"
+                )
+                return
+            self._placement.record_sending(choice.endpoint)
             attempt = calls.Attempt(
                 choice.endpoint.id,
                 workspace,
@@ -502,7 +508,7 @@
         logs.log_message(
             "refused",
             id=call.id,
-            reason="overloaded",
+            reason="limited" if choice.limit_wait_s else "overloaded",
             wait_ms=round(choice.wait_s * deadlines.MS_PER_S),
             return_ms=round(retry_after_s * deadlines.MS_PER_S),
             endpoint=choice.endpoint.id,
--- a/eelgrassgate/gateway/load_shedding.py
+++ b/eelgrassgate/gateway/load_shedding.py
@@ -19,6 +19,7 @@
 
 def compute_retry_delay(
     wait_s: float,
+    limit_wait_s: float,
     objective_s: float,
     draw: Callable[[], float] = random.random,
 ) -> float | None:
@@ -26,9 +27,10 @@
 
     Args:
         wait_s: Expected wait for a slot in seconds.
+        limit_wait_s: Seconds until a limit allows the request; 0 if now.
         objective_s: Latency objective of the first byte in seconds.
         draw: Returns a random number between 0 and 1.
     """
-    if wait_s <= objective_s * MAX_WAIT_OBJECTIVES:
+    if not limit_wait_s and wait_s <= objective_s * MAX_WAIT_OBJECTIVES:
         return None
-    return wait_s + draw() * RETRY_SPREAD_S
+    return max(wait_s, limit_wait_s) + draw() * RETRY_SPREAD_S
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -117,7 +117,13 @@
         adapters.store.set_relays(self.reports.get_relays)
         self.relay = relay.create_relay(node_settings.store_address)
         self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
-        self.endpoint_limits = endpoint_limits.create_endpoint_limits()
+        self.endpoint_limits = endpoint_limits.create_endpoint_limits(
+            self.member,
+            self.directory.members_by_name.values,
+            node_settings.region_by_zone,
+        )
+        self.reports.set_limits_source(self.endpoint_limits.list_limits)
+        self.reports.subscribe(self.endpoint_limits)
         self.metrics.observe_endpoint_limits(self.endpoint_limits.count_limited)
         self.placement = placement_lib.create_placement(
             self.loads,
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -45,10 +45,17 @@
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """A chosen endpoint and the expected wait for a slot in seconds."""
+    """A chosen endpoint.
+
+    Attributes:
+        endpoint: The endpoint.
+        wait_s: Expected wait for a slot in seconds.
+        limit_wait_s: Seconds until its limit allows a request; 0 if now.
+    """
 
     endpoint: catalog.Endpoint
     wait_s: float
+    limit_wait_s: float
 
 
 class _Backoff(msgspec.Struct):
@@ -142,18 +149,45 @@
     def choose_endpoint(
         self, service: str, excluded: frozenset[str] = frozenset()
     ) -> Choice | None:
-        """Return the endpoint with the lowest cost; None if there is none."""
+        """Return the endpoint with the lowest cost; None if there is none.
+
+        An endpoint whose limit allows no request now is chosen only if that is
+        so for all.
+        """
         best: catalog.Endpoint | None = None
-        best_cost = 0.0
+        best_cost = (0.0, 0.0)
         for endpoint in self.get_endpoints(service):
             if endpoint.id in excluded:
                 continue
-            cost = self._estimate_cost(endpoint)
+            cost = (
+                self.compute_limit_wait(endpoint),
+                self._estimate_cost(endpoint),
+            )
             if best is None or cost < best_cost:
                 best, best_cost = endpoint, cost
         if best is None:
             return None
-        return Choice(best, self.estimate_wait(best))
+        return Choice(best, self.estimate_wait(best), best_cost[0])
+
+    def compute_limit_wait(self, endpoint: catalog.Endpoint) -> float:
+        """Return the seconds until an endpoint's limit allows a request."""
+        if self.endpoint_limits.get_limit(endpoint.id) is None:
+            return 0.0
+        is_shared = self._are_all_limited(endpoint.service)
+        return self.endpoint_limits.compute_wait(endpoint, is_shared=is_shared)
+
+    def record_sending(self, endpoint: catalog.Endpoint) -> None:
+        """Count a request that is about to be sent against the limit."""
+        if self.endpoint_limits.get_limit(endpoint.id) is not None:
+            is_shared = self._are_all_limited(endpoint.service)
+            self.endpoint_limits.take_token(endpoint, is_shared=is_shared)
+
+    def _are_all_limited(self, service: str) -> bool:
+        """Return whether all endpoints of a service name limits."""
+        return all(
+            self.endpoint_limits.get_limit(one.id) is not None
+            for one in self.get_endpoints(service)
+        )
 
     def _estimate_cost(self, endpoint: catalog.Endpoint) -> float:
         utilization = self._loads.count_in_flight(endpoint.id) / endpoint.slots
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -77,6 +77,8 @@
             as soon as its entry expires.
         config: Its configuration.
         quarantine: Prompt parts that crash endpoints, and evidence for it.
+        limits_by_endpoint: Versions and limits in requests a second of
+            endpoints that name one; None for a limit that was lifted.
     """
 
     name: str
@@ -92,6 +94,7 @@
     is_leaving: bool = False
     config: ConfigStatus = ConfigStatus()
     quarantine: quarantine_lib.Report = quarantine_lib.Report()
+    limits_by_endpoint: dict[str, tuple[int, float | None]] = {}
 
 
 class Peer(msgspec.Struct):
@@ -146,11 +149,20 @@
         self._admitted_by_workspace: dict[str, float] = {}
         self._admitted_at_by_workspace: dict[str, float] = {}
         self._read_config_status: Callable[[], ConfigStatus] = ConfigStatus
+        self._list_limits: Callable[[], dict[str, tuple[int, float | None]]] = (
+            dict
+        )
 
     def set_config_source(self, read: Callable[[], ConfigStatus]) -> None:
         """Set what the reports tell of this process's configuration."""
         self._read_config_status = read
 
+    def set_limits_source(
+        self, list_limits: Callable[[], dict[str, tuple[int, float | None]]]
+    ) -> None:
+        """Set what the reports tell of the limits of endpoints."""
+        self._list_limits = list_limits
+
     def get_peers(self) -> dict[registry.Member, Peer]:
         """Return the live processes that report, by their registration."""
         members = self._directory.members_by_name
@@ -419,6 +431,7 @@
             self.is_leaving,
             self._read_config_status(),
             self._quarantine.build_report(),
+            self._list_limits(),
         )
         return _ENCODER.encode(report)
 
--- a/tests/load_peaks.py
+++ b/tests/load_peaks.py
@@ -14,12 +14,12 @@
 
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import catalog
-from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import load_shedding
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import reports
+from tests import site as site_lib
 
 # The load of large sites: peaks of 2.4 s every 6 s.
 PEAK_S: Final = 2.4
@@ -85,7 +85,7 @@
         placement = placement_lib.create_placement(
             self._tables[number],
             failures.create_failures(clock=self._get_now),
-            endpoint_limits.create_endpoint_limits(self._get_now),
+            site_lib.make_endpoint_limits(clock=self._get_now),
             ZONES[number % 6],
             REGION_BY_ZONE,
             self._get_now,
@@ -147,7 +147,7 @@
         choice = self._placements[gateway].choose_endpoint("engine")
         assert choice is not None
         retry_after_s = load_shedding.compute_retry_delay(
-            choice.wait_s, OBJECTIVE_S, self._random.random
+            choice.wait_s, choice.limit_wait_s, OBJECTIVE_S, self._random.random
         )
         if retry_after_s is not None:
             if is_retry:
--- a/tests/site.py
+++ b/tests/site.py
@@ -1,6 +1,7 @@
 """Test fixture: a gateway with stand-in endpoints in one process."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
 from typing import Any
@@ -9,6 +10,7 @@
 import anyio
 import h11
 
+from eelgrassgate import deadlines
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import endpoint_limits
@@ -21,6 +23,7 @@
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
+from eelgrassgate.peering import registry
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import dialect
 from eelgrassgate.quarantine import quarantine
@@ -84,6 +87,19 @@
     )
 
 
+def make_endpoint_limits(
+    role: registry.Role = registry.Role.GATEWAY,
+    clock: Callable[[], float] = deadlines.now,
+) -> endpoint_limits.EndpointLimits:
+    """Return the limits of a process without peers."""
+    member = registry.Member(
+        "a", role, "z1", "r1", "127.0.0.1:1", "127.0.0.1:2", 1
+    )
+    return endpoint_limits.create_endpoint_limits(
+        member, lambda: [member], {"z1": "r1"}, clock
+    )
+
+
 class Response:
     """A response as received by a caller.
 
@@ -192,7 +208,7 @@
         self.placement = placement_lib.create_placement(
             self.loads,
             self.failures,
-            endpoint_limits.create_endpoint_limits(),
+            make_endpoint_limits(),
             "z1",
             {"z1": "r1", "z2": "r1", "z3": "r2"},
         )
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -18,7 +18,6 @@
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
-from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import upstream
@@ -315,7 +314,7 @@
         self.placement = placement_lib.create_placement(
             self.loads,
             failures.create_failures(),
-            endpoint_limits.create_endpoint_limits(),
+            site_lib.make_endpoint_limits(registry.Role.BATCH),
             "z1",
             {"z1": "r1"},
         )
@@ -625,7 +624,7 @@
                 placement = placement_lib.create_placement(
                     table,
                     failures.create_failures(),
-                    endpoint_limits.create_endpoint_limits(),
+                    site_lib.make_endpoint_limits(registry.Role.BATCH),
                     "z1",
                     {"z1": "r1", "z2": "r1", "z3": "r2"},
                 )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,7 +7,6 @@
 from eelgrassgate import outcomes
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import catalog
-from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.peering import failures
@@ -39,7 +38,7 @@
     placement = placement_lib.create_placement(
         table,
         seen,
-        endpoint_limits.create_endpoint_limits(clock),
+        site_lib.make_endpoint_limits(clock=clock),
         "z1",
         ZONES,
         clock,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -14,7 +14,6 @@
 from eelgrassgate.engine import http as engine_http
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
-from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
 from eelgrassgate.platform import dialect
@@ -194,7 +193,7 @@
                     anyio.current_time() + 60.0,
                     items.Progress(item),
                     lambda: None,
-                    endpoint_limits.create_endpoint_limits(),
+                    site_lib.make_endpoint_limits(),
                 )
             with anyio.move_on_after(MAX_CLOSE_S):
                 while server.endless_calls:
