Let gateways that are cut off keep their share of rates

Cause: two of five gateways were cut off from all other processes and went on serving with their fifth of each rate. When their entries expired, 2.6 s into the cut, the three others took the whole rate. Rights now outlast an entry by 20 s, unless the gateway has reported that it shuts down.

A gateway that is cut off for longer than 23 s and still used by callers can exceed the rate as before.

RateShareTest fails with the former sum: 1.0 after 3 s instead of 0.5.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -10,6 +10,7 @@
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import forwarding
 from eelgrassgate.gateway import node as node_lib
+from eelgrassgate.gateway import rate_share as rate_share_lib
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.gateway import service as service_lib
 from eelgrassgate.gateway import settings
@@ -130,20 +131,20 @@
         logs.log_message("shutdown completed", cut=cut)
 
     async def _update_share(self) -> None:
-        """Keep the share of rates in line with the gateways that report.
-
-        Gateways without a fresh report are assumed to use their equal share.
-        """
+        """Keep the share of rates in line with the gateways that report."""
+        rate_share = rate_share_lib.create_rate_share()
         while True:
             names = self._node.directory.get_names(registry.Role.GATEWAY)
-            others = names - {self._node.member.name}
-            fresh_count = sum(
-                self._node.reports.has_fresh_report(one) for one in others
+            share = rate_share.compute(
+                names - {self._node.member.name},
+                self._node.reports.has_left,
+                self._node.reports.has_fresh_report,
             )
-            share = (1.0 + fresh_count) / (1.0 + len(others))
             if share != self._rates.share:
                 logs.log_message(
-                    "share:changed", share=share, gateways=len(others) + 1
+                    "share:changed",
+                    share=share,
+                    gateways=rate_share.count_gateways(),
                 )
                 self._rates.share = share
             await anyio.sleep(SHARE_UPDATE_INTERVAL_S)
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -185,6 +185,11 @@
             peer.alive_until - PEER_TIMEOUT_S + FRESH_REPORT_S
         )
 
+    def has_left(self, name: str) -> bool:
+        """Return whether a peer has reported that it is shutting down."""
+        peer = self._peers_by_name.get(name)
+        return peer is not None and peer.report.is_leaving
+
     def is_alive(self, name: str) -> bool:
         """Return whether a recent report arrived, directly or forwarded."""
         peer = self._peers_by_name.get(name)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,6 +8,7 @@
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.gateway import rate_share
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
@@ -324,6 +325,45 @@
         self.assertTrue(all(fleet.admit(0) for _ in range(1000)))
 
 
+class RateShareTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.share = rate_share.create_rate_share(self.clock)
+        self.fresh = {"a", "b", "c"}
+        self.left: set[str] = set()
+
+    def compute(self, *registered: str) -> float:
+        return self.share.compute(
+            set(registered), self.left.__contains__, self.fresh.__contains__
+        )
+
+    def test_share_counts_gateways_with_fresh_reports(self) -> None:
+        for registered, fresh, expected in (
+            ((), set(), 1.0),
+            (("a", "b", "c"), {"a", "b", "c"}, 1.0),
+            (("a", "b", "c"), {"a"}, 0.5),
+            (("a", "b", "c"), set(), 0.25),
+        ):
+            with self.subTest(registered=registered, fresh=fresh):
+                self.setUp()
+                self.fresh = fresh
+                self.assertEqual(self.compute(*registered), expected)
+
+    def test_gateways_that_are_cut_off_keep_their_share(self) -> None:
+        self.assertEqual(self.compute("a", "b", "c"), 1.0)
+        self.fresh = {"a"}
+        # The entries of the others expire during the cut.
+        self.clock.now += 3.0
+        self.assertEqual(self.compute("a"), 0.5)
+        self.clock.now += rate_share.EXPIRED_HOLD_S
+        self.assertEqual(self.compute("a"), 1.0)
+
+    def test_gateway_that_shuts_down_leaves_its_share(self) -> None:
+        self.assertEqual(self.compute("a", "b", "c"), 1.0)
+        self.fresh, self.left = {"a", "b"}, {"c"}
+        self.assertEqual(self.compute("a", "b"), 1.0)
+
+
 class PreemptionShareTest(unittest.TestCase):
     def test_shares_add_up_to_the_excess(self) -> None:
         for excess, counts in (
