Check in one place whether an endpoint ended under a request

Gateways and batch processes each had a copy of the check, its log line and its count. The line attempt lost is now written only after the check, no more for attempts that timed out. The same endpoint counts as ended again after 3 s instead of 1.5 s, as endpoints stay away for some seconds.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -20,10 +20,9 @@
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
-from eelgrassgate.gateway import forwarding
+from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
-from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
@@ -545,32 +544,23 @@
         self._handle_outcome(run, outcome, reason, route)
 
     async def _check_endpoint(self, run: _Run, *, has_output: bool) -> None:
-        """Record whether an endpoint that broke off a run has ended."""
+        """Record whether the endpoint that broke off a run has ended."""
         progress = run.progress
-        parts = self._get_prompt_parts(progress)
-        has_endpoint_ended = await sockets.is_refused(
-            run.endpoint.address, forwarding.END_CHECK_TIMEOUT_S
+        has_ended = await lost_attempts.check_endpoint(
+            run.endpoint,
+            quarantine_lib.Run(
+                progress.item.id,
+                self._get_prompt_parts(progress),
+                run.started_at,
+                has_output,
+            ),
+            self._quarantine,
+            self._metrics,
         )
         if has_output:
             progress.ended_endpoints = 0
-        elif has_endpoint_ended:
+        elif has_ended:
             progress.ended_endpoints += 1
-        if has_endpoint_ended:
-            self._metrics.count_endpoint_end(run.endpoint.service)
-            self._quarantine.record_end(
-                run.endpoint.id,
-                quarantine_lib.Run(
-                    progress.item.id, parts, run.started_at, has_output
-                ),
-            )
-        logs.log_message(
-            "attempt lost",
-            id=progress.item.id,
-            endpoint=run.endpoint.id,
-            has_endpoint_ended=has_endpoint_ended,
-            has_output=has_output,
-            parts=parts,
-        )
 
     def _handle_outcome(
         self,
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -13,12 +13,12 @@
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import load_shedding
+from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import idle_timeout
-from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.quarantine import quarantine as quarantine_lib
@@ -41,9 +41,6 @@
 # certainly did not run the request. A separate bound is needed since failed
 # connections do not count as attempts.
 MAX_UNEXECUTED_TRIES: Final = 4
-# Timeout of the check whether an endpoint that broke off a response has ended;
-# covers a round trip between regions.
-END_CHECK_TIMEOUT_S: Final = 0.15
 # Logged result of an attempt that the gateway cancelled.
 CANCELLED: Final = "stopped"
 
@@ -251,7 +248,17 @@
             result = Result.LOST if error.was_sent else Result.NOT_SENT
             self._placement.record_unreachable(endpoint)
             if error.was_sent and call.prompt_parts:
-                await self._check_endpoint(call, endpoint, started_at, progress)
+                run = quarantine_lib.Run(
+                    call.id,
+                    call.prompt_parts,
+                    started_at,
+                    progress.has_output,
+                )
+                progress.has_endpoint_ended = (
+                    await lost_attempts.check_endpoint(
+                        endpoint, run, self._quarantine, self._metrics
+                    )
+                )
         except TimeoutError:
             reason = "idle timeout"
             self._placement.record_unreachable(endpoint)
@@ -278,15 +285,6 @@
             # its low load would attract more requests.
             self._placement.record_error(endpoint)
         self._log_attempt(call, endpoint, result.value, status, reason, took_s)
-        if result is Result.LOST:
-            logs.log_message(
-                "attempt lost",
-                id=call.id,
-                endpoint=endpoint.id,
-                has_endpoint_ended=progress.has_endpoint_ended,
-                has_output=progress.has_output,
-                parts=call.prompt_parts,
-            )
         self._metrics.count_attempt(endpoint.service, result.value)
         _record_result(progress, result)
         is_broken = responder.has_begun and result is not Result.DONE
@@ -294,26 +292,6 @@
             raise IncompleteResponseError(reason)
         return result
 
-    async def _check_endpoint(
-        self,
-        call: calls.Call,
-        endpoint: catalog.Endpoint,
-        sent_at: float,
-        progress: _Progress,
-    ) -> None:
-        """Record whether an endpoint that broke off a response has ended."""
-        progress.has_endpoint_ended = await sockets.is_refused(
-            endpoint.address, END_CHECK_TIMEOUT_S
-        )
-        if progress.has_endpoint_ended:
-            self._metrics.count_endpoint_end(endpoint.service)
-            self._quarantine.record_end(
-                endpoint.id,
-                quarantine_lib.Run(
-                    call.id, call.prompt_parts, sent_at, progress.has_output
-                ),
-            )
-
     def _log_attempt(
         self,
         call: calls.Call,
--- a/eelgrassgate/quarantine/quarantine.py
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -29,7 +29,7 @@
 # process that did not know of it.
 DISPUTE_S: Final = 5.0
 # An endpoint needs longer than this to start again under the same id.
-MIN_RESTART_S: Final = 1.5
+MIN_RESTART_S: Final = 3.0
 # Bounds on memory and on the size of reports.
 MAX_ENDS: Final = 32
 MAX_REPORTED_EXPOSURES: Final = 16
