--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -16,6 +16,7 @@
 from starlette import responses
 from starlette import routing
 
+from eelgrassgate import deadlines
 from eelgrassgate import outcomes
 from eelgrassgate.batches import daemon as batch_daemon
 from eelgrassgate.peering import failures
@@ -167,6 +168,16 @@
         self.assertEqual(self.failures.get_failure_rate("e"), 0.0)
 
 
+class ReceivedLimits(reports.ReportListener):
+    """Keeps the limits of the last report."""
+
+    def __init__(self) -> None:
+        self.limits_by_endpoint: dict[str, tuple[int, float | None]] = {}
+
+    def handle_report(self, report: reports.Report) -> None:
+        self.limits_by_endpoint = report.limits_by_endpoint
+
+
 class ReportsTest(unittest.IsolatedAsyncioTestCase):
     def test_older_reports_are_ignored(self) -> None:
         exchange, table = make_reports("a", make_member("a"), make_member("b"))
@@ -181,6 +192,43 @@
         exchange.handle_report(make_report("b", 1, incarnation=2), b"")
         self.assertEqual(table.count_in_flight("e"), 0)
 
+    async def test_quarantine_and_limits_reach_other_processes(self) -> None:
+        ports = loopback.find_free_ports(2)
+        members = [
+            make_member(name, port=port, relay_port=port + 1)
+            for name, port in zip("ab", ports, strict=True)
+        ]
+        quarantines = [quarantine.create_quarantine() for _ in members]
+        received = ReceivedLimits()
+        async with anyio.create_task_group() as tasks:
+            for own, kept in zip(members, quarantines, strict=True):
+                directory: Any = Directory(*members)
+                exchange = reports.create_reports(
+                    own,
+                    directory,
+                    loads.create_loads(),
+                    failures.create_failures(),
+                    kept,
+                    lambda: True,
+                )
+                exchange.set_limits_source(lambda: {"e": (1, 2.5)})
+                exchange.subscribe(received)
+                tasks.start_soon(exchange.run)
+            for number in range(4):
+                sent_at = deadlines.now()
+                quarantines[number % 2].record_end(
+                    f"e{number}",
+                    quarantine.Run(f"r{number}", ("p",), sent_at, False),
+                )
+                await anyio.sleep(0.4)
+            with anyio.fail_after(TEST_TIMEOUT_S):
+                while not all(
+                    kept.find_quarantined(("p",)) for kept in quarantines
+                ):
+                    await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(received.limits_by_endpoint, {"e": (1, 2.5)})
+
     async def test_missing_reports_are_forwarded_by_peers(self) -> None:
         ports = loopback.find_free_ports(3)
         members = [
