--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -182,8 +182,9 @@
 
         return record_admission
 
-    def exchange_reports(self) -> None:
-        for index, admitted in enumerate(self.admitted):
+    def exchange_reports(self, connected: int | None = None) -> None:
+        """Exchange reports of the first `connected` gateways, or of all."""
+        for index, admitted in enumerate(self.admitted[:connected]):
             self.numbers[index] += 1
             report = test_peering.make_report(
                 f"g{index}",
@@ -191,7 +192,7 @@
                 uptime_s=0.1,
                 admitted_by_workspace=dict(admitted),
             )
-            for other, rates in enumerate(self.rates):
+            for other, rates in enumerate(self.rates[:connected]):
                 if other != index:
                     rates.handle_report(report)
 
@@ -258,6 +259,41 @@
                 )
                 self.assertLessEqual(max_admitted, limit)
 
+    def test_rate_is_enforced_when_gateways_are_cut_off_one_by_one(
+        self,
+    ) -> None:
+        """9 of 25 gateways, at 7 times the rate, hear nobody any more."""
+        limit = (64 * 5 + 64) * 1.1 + 20
+        connected, count = 16, 25
+        for cut_step in range(100, 500, 50):
+            with self.subTest("cut", cut_step=cut_step):
+                fleet = Fleet(count, 64.0, 64.0)
+                self.set_shares(fleet, 1.0)
+                admitted_at: list[float] = []
+                demand = 0.0
+                sent = 0
+                for step in range(1000):
+                    fleet.clock.now += 0.01
+                    demand += 7.0 * 64.0 * 0.01
+                    while demand >= 1.0:
+                        demand -= 1.0
+                        sent += 1
+                        if fleet.admit(sent % count):
+                            admitted_at.append(fleet.clock.now)
+                    if step % 15 == 0:
+                        fleet.exchange_reports(
+                            connected if step >= cut_step else count
+                        )
+                    if step == cut_step + 100 * reports.FRESH_REPORT_S:
+                        for index, one in enumerate(fleet.rates):
+                            heard = connected if index < connected else 1
+                            one.share = heard / count
+                max_admitted = max(
+                    sum(start <= one < start + 5.0 for one in admitted_at)
+                    for start in admitted_at
+                )
+                self.assertLessEqual(max_admitted, limit)
+
     def set_shares(self, fleet: Fleet, share: float) -> None:
         for one in fleet.rates:
             one.share = share
