--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -360,6 +360,29 @@
                 fleet.exchange_reports(3)
         self.assertLessEqual(admitted, 0.75 * (48 * 30 + 48))
 
+    def test_load_that_moves_to_another_gateway_is_admitted(self) -> None:
+        """0.8 of the rate reaches one gateway for 6 s, then another one."""
+        for name, gateways, rate_per_s in (
+            ("few gateways", 4, 48.0),
+            ("many gateways", 58, 30.0),
+        ):
+            with self.subTest(name):
+                fleet = Fleet(gateways, rate_per_s, rate_per_s)
+                self.set_shares(fleet, 1.0)
+                demand = 0.0
+                refused = 0
+                sent = 0
+                for step in range(1200):
+                    fleet.clock.now += 0.01
+                    demand += 0.8 * rate_per_s * 0.01
+                    while demand >= 1.0:
+                        demand -= 1.0
+                        sent += 1
+                        refused += not fleet.admit(step // 600)
+                    if step % 15 == 0:
+                        fleet.exchange_reports()
+                self.assertLessEqual(refused, 0.02 * sent)
+
     def test_request_is_admitted_after_the_retry_delay(self) -> None:
         fleet = Fleet(1, 10.0, 4.0)
         while fleet.admit(0):
