Charge reported admissions more only for gateways that are lost

After a restart of all gateways, each multiplied what the first peers reported by three, since the others had not reported yet.

The new tests failed before: the third request of a start was refused.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -140,6 +140,7 @@
                 self._node.reports.has_left,
                 self._node.reports.has_fresh_report,
             )
+            self._rates.lost_share = rate_share.get_lost()
             if share != self._rates.share:
                 logs.log_message(
                     "share:changed",
--- a/eelgrassgate/gateway/rate_share.py
+++ b/eelgrassgate/gateway/rate_share.py
@@ -21,11 +21,20 @@
         """Initialize without other gateways; see `create_rate_share`."""
         self._clock = clock
         self._counted_until_by_gateway: dict[str, float] = {}
+        self._heard: set[str] = set()
+        self._lost_count = 0
 
     def count_gateways(self) -> int:
         """Return the number of gateways, this one included."""
         return 1 + len(self._counted_until_by_gateway)
 
+    def get_lost(self) -> float:
+        """Return the fraction of the gateways that this one has lost.
+
+        These had a fresh report once, unlike those that have just started.
+        """
+        return self._lost_count / self.count_gateways()
+
     def compute(
         self,
         registered: Collection[str],
@@ -46,10 +55,15 @@
         for name, until in list(self._counted_until_by_gateway.items()):
             if name not in registered and (until <= now or has_left(name)):
                 del self._counted_until_by_gateway[name]
-        fresh_count = sum(
-            has_fresh_report(name) for name in self._counted_until_by_gateway
-        )
-        return (1.0 + fresh_count) / self.count_gateways()
+        self._heard &= self._counted_until_by_gateway.keys()
+        fresh = {
+            name
+            for name in self._counted_until_by_gateway
+            if has_fresh_report(name)
+        }
+        self._heard |= fresh
+        self._lost_count = len(self._heard - fresh)
+        return (1.0 + len(fresh)) / self.count_gateways()
 
 
 def create_rate_share(
--- a/eelgrassgate/gateway/rates.py
+++ b/eelgrassgate/gateway/rates.py
@@ -106,6 +106,7 @@
 
     Attributes:
         share: Fraction of each rate that this process may use.
+        lost_share: Fraction of the gateways whose reports no longer arrive.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         self._workspaces_by_name: dict[str, catalog.Workspace] = {}
         self._buckets_by_name: dict[str, token_bucket.TokenBucket] = {}
         self.share = 1.0
+        self.lost_share = 0.0
 
     def configure(self, current: catalog.Catalog) -> None:
         """Apply the workspaces of a configuration."""
@@ -179,7 +181,10 @@
                 recent.add(admitted - counted, now)
             workspace = self._workspaces_by_name.get(name)
             if workspace is not None and workspace.rate_per_s > 0:
-                tokens = (admitted - counted) / self.share
+                # Those that have just started report their admissions soon, so
+                # only lost gateways may admit as many unreported.
+                price = (self.share + self.lost_share) / self.share
+                tokens = (admitted - counted) * price
                 self._refill(workspace).tokens -= tokens
 
     def _estimate_unreported(self, name: str, now: float) -> float:
@@ -202,7 +207,7 @@
             unreported += min(
                 own_count * recent.get(now) / own_recent, MAX_PEAK * mean
             )
-        return unreported / self.share
+        return unreported
 
     def _refill(self, workspace: catalog.Workspace) -> token_bucket.TokenBucket:
         now = self._clock()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -288,6 +288,7 @@
                         for index, one in enumerate(fleet.rates):
                             heard = connected if index < connected else 1
                             one.share = heard / count
+                            one.lost_share = 1.0 - one.share
                 max_admitted = max(
                     sum(start <= one < start + 5.0 for one in admitted_at)
                     for start in admitted_at
@@ -352,6 +353,7 @@
         fleet = Fleet(4, 48.0, 48.0)
         for one in fleet.rates[:3]:
             one.share = 0.75
+            one.lost_share = 0.25
         admitted = 0
         for step in range(3000):
             fleet.clock.now += 0.01
@@ -383,6 +385,17 @@
                         fleet.exchange_reports()
                 self.assertLessEqual(refused, 0.02 * sent)
 
+    def test_reports_of_starting_gateways_cost_no_more(self) -> None:
+        """Three gateways start; the first report of one is still missing."""
+        fleet = Fleet(3, 20.0, 20.0)
+        self.set_shares(fleet, 1.0 / 3.0)
+        for _ in range(2):
+            self.assertTrue(fleet.admit(0))
+            self.assertTrue(fleet.admit(1))
+        fleet.exchange_reports(2)
+        self.set_shares(fleet, 2.0 / 3.0)
+        self.assertTrue(fleet.admit(0))
+
     def test_request_is_admitted_after_the_retry_delay(self) -> None:
         fleet = Fleet(1, 10.0, 4.0)
         while fleet.admit(0):
@@ -423,13 +436,20 @@
 
     def test_gateways_that_are_cut_off_keep_their_share(self) -> None:
         self.assertEqual(self.compute("a", "b", "c"), 1.0)
+        self.assertEqual(self.share.get_lost(), 0.0)
         self.fresh = {"a"}
         # The entries of the others expire during the cut.
         self.clock.now += 3.0
         self.assertEqual(self.compute("a"), 0.5)
+        self.assertEqual(self.share.get_lost(), 0.5)
         self.clock.now += rate_share.EXPIRED_HOLD_S
         self.assertEqual(self.compute("a"), 1.0)
 
+    def test_gateways_that_have_not_reported_yet_are_not_lost(self) -> None:
+        self.fresh = {"a"}
+        self.assertEqual(self.compute("a", "b", "c"), 0.5)
+        self.assertEqual(self.share.get_lost(), 0.0)
+
     def test_gateway_that_shuts_down_leaves_its_share(self) -> None:
         self.assertEqual(self.compute("a", "b", "c"), 1.0)
         self.fresh, self.left = {"a", "b"}, {"c"}
