--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -145,6 +145,7 @@
         self._number = 0
         self._peers_by_name: dict[str, Peer] = {}
         self._direct_until_by_name: dict[str, float] = {}
+        self._informed_incarnation_by_name: dict[str, int] = {}
         self._listeners: list[ReportListener] = []
         self._admitted_by_workspace: dict[str, float] = {}
         self._admitted_at_by_workspace: dict[str, float] = {}
@@ -284,6 +285,7 @@
         for name in list(self._peers_by_name):
             if not self.is_alive(name):
                 del self._peers_by_name[name]
+                self._informed_incarnation_by_name.pop(name, None)
                 self._loads.set_peer_counts(name, {}, {})
                 self._failures.set_peer_failures(name, {})
                 logs.log_message("peer:timed_out", peer=name)
@@ -313,6 +315,10 @@
     async def _send_due(
         self, socket: abc.UDPSocket, last_sent_by_interval: dict[float, _Sent]
     ) -> None:
+        """Report to the members whose interval has passed and to new ones.
+
+        Until all gateways have reported, a new one uses a part of each rate.
+        """
         now = deadlines.now()
         load_version = self._loads.version
         config_version = self._read_config_status().version
@@ -334,15 +340,18 @@
                 last_sent_by_interval[interval_s] = _Sent(
                     now, load_version, config_version
                 )
-        if not due:
+        members = [
+            one
+            for one in self._directory.members_by_name.values()
+            if one.name != self._member.name
+            and (self._get_interval(one) in due or self._is_new(one))
+        ]
+        if not members:
             return
         with_admissions = self._encode(self._list_recent_admissions(now))
         without_admissions = self._encode({})
-        for member in list(self._directory.members_by_name.values()):
-            if member.name == self._member.name:
-                continue
-            if self._get_interval(member) not in due:
-                continue
+        for member in members:
+            self._informed_incarnation_by_name[member.name] = member.incarnation
             is_gateway = member.role is registry.Role.GATEWAY
             await self._send(
                 socket,
@@ -352,6 +361,11 @@
             for forwarded in self._list_missing_reports(member.name):
                 await self._send(socket, member, forwarded)
 
+    def _is_new(self, member: registry.Member) -> bool:
+        """Return whether no report was sent to this start of a process."""
+        informed = self._informed_incarnation_by_name.get(member.name)
+        return informed != member.incarnation
+
     def _get_interval(self, member: registry.Member) -> float:
         """Return the interval at which changes are reported to a peer."""
         if member.zone == self._member.zone:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -229,6 +229,36 @@
             tasks.cancel_scope.cancel()
         self.assertEqual(received.limits_by_endpoint, {"e": (1, 2.5)})
 
+    async def test_new_process_gets_a_report_at_once(self) -> None:
+        exchange, _ = make_reports("a", make_member("a"))
+        directory: Any = exchange._directory
+        sent_to: list[int] = []
+
+        class Socket:
+            async def sendto(self, data: bytes, host: str, port: int) -> None:
+                sent_to.append(port)
+
+        socket: Any = Socket()
+        sent: Any = {}
+        for name, member, ports in (
+            ("nobody else", None, []),
+            ("first start", make_member("b", port=7), [7]),
+            ("no change since", None, []),
+            (
+                "another start",
+                msgspec.structs.replace(
+                    make_member("b", port=8), incarnation=2
+                ),
+                [8],
+            ),
+        ):
+            with self.subTest(name):
+                sent_to.clear()
+                if member is not None:
+                    directory.members_by_name["b"] = member
+                await exchange._send_due(socket, sent)
+                self.assertEqual(sent_to, ports)
+
     async def test_missing_reports_are_forwarded_by_peers(self) -> None:
         ports = loopback.find_free_ports(3)
         members = [
