Admit the first requests of a workspace with a small burst after a start

A gateway that starts has half of the burst and pays one token for each gateway that has not reported. With three gateways and a burst below six, it refused its first request. The users allow 20 requests beyond any limit; up to eight tokens of the burst are now there from the start.

The new test failed before for each of its three cases.

--- a/eelgrassgate/gateway/rates.py
+++ b/eelgrassgate/gateway/rates.py
@@ -23,6 +23,9 @@
 # admitted just before; half of the burst can be granted twice within the window
 # over which the limit is measured without exceeding the limit.
 INITIAL_FILL: Final = 0.5
+# Least initial tokens, up to the burst. The first request must not be refused
+# because of a small burst; as many are allowed beyond any limit.
+MIN_INITIAL_TOKENS: Final = 8.0
 # Retry delays are sent in whole milliseconds; rounding down would cause a
 # second refusal.
 ROUNDING_MARGIN_S: Final = 0.001
@@ -215,7 +218,10 @@
         capacity = max(1.0 / self.share, workspace.burst)
         bucket = self._buckets_by_name.get(workspace.name)
         if bucket is None:
-            bucket = token_bucket.TokenBucket(capacity * INITIAL_FILL, now)
+            initial = max(
+                capacity * INITIAL_FILL, min(capacity, MIN_INITIAL_TOKENS)
+            )
+            bucket = token_bucket.TokenBucket(initial, now)
             self._buckets_by_name[workspace.name] = bucket
         bucket.refill(now, workspace.rate_per_s, capacity)
         # Delayed reports can make the level negative, down to one burst.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -306,6 +306,16 @@
         first = sum(again.admit(0) for _ in range(100))
         self.assertLessEqual(admitted + first, (48 * 5 + 48) * 1.1 + 20)
 
+    def test_starting_gateways_admit_requests_despite_a_small_burst(
+        self,
+    ) -> None:
+        for gateways, burst in ((3, 4.0), (3, 1.0), (5, 6.0)):
+            with self.subTest(gateways=gateways, burst=burst):
+                fleet = Fleet(gateways, burst, burst)
+                self.set_shares(fleet, 1.0 / gateways)
+                for index in range(gateways):
+                    self.assertTrue(fleet.admit(index))
+
     def test_gateways_starting_together_admit_the_allowed_rate(
         self,
     ) -> None:
