Refuse jobs at once while the store does not answer

The process now knows since when no call was answered, and after 1 s refuses without sending anything; one read at a time checks whether the store is back. The belief is logged and shown as a metric.

--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -7,6 +7,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate.batches import intake as intake_lib
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
@@ -79,12 +80,14 @@
     def __init__(
         self,
         store: base.Store,
+        intake: intake_lib.Intake,
         reader: results.Reader,
         dialect: calls.Dialect,
         batch_dialect: BatchDialect,
     ) -> None:
         """Initialize; see `create_batch_calls`."""
         self._store = store
+        self._intake = intake
         self._reader = reader
         self._dialect = dialect
         self._batch_dialect = batch_dialect
@@ -106,6 +109,17 @@
         if not items or not call.id or len(call.id) > records.MAX_ID_CHARS:
             await responder.reply(BAD_REQUEST)
             return
+        retry_delay_s = await self._intake.check(call.deadline)
+        if retry_delay_s is not None:
+            logs.log_message(
+                "refused",
+                id=call.id,
+                reason="store lost",
+                status=UNAVAILABLE,
+                retry_ms=deadlines.to_ms(retry_delay_s),
+            )
+            await self._reply_unavailable(responder, retry_delay_s)
+            return
         accepted = await submission.submit(
             self._store, call, route, workspace, items, config_version
         )
@@ -181,15 +195,20 @@
         else:
             await responder.reply(GATEWAY_TIMEOUT)
 
-    async def _reply_unavailable(self, responder: downstream.Responder) -> None:
+    async def _reply_unavailable(
+        self,
+        responder: downstream.Responder,
+        retry_delay_s: float = RETRY_AFTER_S,
+    ) -> None:
         headers: upstream.Headers = self._dialect.write_refusal_headers(
-            RETRY_AFTER_S
+            retry_delay_s
         )
         await responder.reply(UNAVAILABLE, headers)
 
 
 def create_batch_calls(
     store: base.Store,
+    intake: intake_lib.Intake,
     reader: results.Reader,
     dialect: calls.Dialect,
     batch_dialect: BatchDialect,
@@ -198,8 +217,9 @@
 
     Args:
         store: The store that holds jobs.
+        intake: Decides whether the store can accept jobs.
         reader: Reads jobs and results.
         dialect: Wire format of requests and responses.
         batch_dialect: Wire format of the batch job API.
     """
-    return BatchCalls(store, reader, dialect, batch_dialect)
+    return BatchCalls(store, intake, reader, dialect, batch_dialect)
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -6,6 +6,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate.batches import intake
 from eelgrassgate.batches import results
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import forwarding
@@ -56,7 +57,11 @@
             self._rates,
             forwarder,
             batch_calls.create_batch_calls(
-                adapters.store, reader, adapters.dialect, adapters.batch_dialect
+                adapters.store,
+                intake.create_intake(adapters.store, adapters.store.contact),
+                reader,
+                adapters.dialect,
+                adapters.batch_dialect,
             ),
             node.metrics,
         )
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -83,6 +83,14 @@
             registry=self._registry,
         ).set_function(read_age_s)
 
+    def observe_store(self, read_silence_s: Callable[[], float]) -> None:
+        """Show for how long the store has not answered."""
+        prometheus_client.Gauge(
+            "eelgrassgate_store_silence_seconds",
+            "Seconds for which calls of the store are unanswered.",
+            registry=self._registry,
+        ).set_function(read_silence_s)
+
     def observe_quarantine(self, count_parts: Callable[[], int]) -> None:
         """Show the number of quarantined prompt parts."""
         prometheus_client.Gauge(
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -27,6 +27,7 @@
 from eelgrassgate.quarantine import quarantine
 from eelgrassgate.quarantine import storage
 from eelgrassgate.store import base
+from eelgrassgate.store import contact as contact_lib
 from eelgrassgate.store import mirror
 
 # Connecting takes one round trip, 60 ms between regions; a lost SYN is
@@ -42,7 +43,13 @@
 
 
 class RelayedStore(base.Store, Protocol):
-    """A store whose calls may be relayed through another process."""
+    """A store whose calls may be relayed through another process.
+
+    Attributes:
+        contact: Whether the store answers, directly or through a relay.
+    """
+
+    contact: contact_lib.Contact
 
     def is_directly_reachable(self) -> bool:
         """Return whether the store responds to direct calls."""
@@ -143,6 +150,7 @@
         self.metrics.observe_config(
             lambda: config.catalog.version, config.get_age_s
         )
+        self.metrics.observe_store(adapters.store.contact.get_silence_s)
         self.metrics.observe_quarantine(self.quarantine.count_quarantined)
         self.reports.set_config_source(config.get_status)
         self.reports.subscribe(config)
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -20,6 +20,7 @@
 from eelgrassgate import logs
 from eelgrassgate.http1 import upstream
 from eelgrassgate.store import base
+from eelgrassgate.store import contact as contact_lib
 
 # Responses take 4 ms, and up to about 400 ms when the service is slow.
 CALL_TIMEOUT_S: Final = 2.0
@@ -145,10 +146,15 @@
 
 
 class KvStore:
-    """An implementation of `base.Store` over the platform's service."""
+    """An implementation of `base.Store` over the platform's service.
+
+    Attributes:
+        contact: Whether the service answers, directly or through a relay.
+    """
 
     def __init__(self, address: str, long_poll_s: float) -> None:
         """Create a client; see `create_kv_store`."""
+        self.contact = contact_lib.create_contact()
         self._long_poll_s = long_poll_s
         self._address = address
         self._host = address.encode()
@@ -397,10 +403,7 @@
                 )
             else:
                 status, body = await self._send(relay, exchange)
-            if (
-                status >= MIN_SERVER_ERROR_STATUS
-                or status in OVERLOADED_STATUSES
-            ):
+            if _is_failure(status):
                 is_unknown = (
                     exchange.is_write and status not in OVERLOADED_STATUSES
                 )
@@ -511,10 +514,7 @@
                 has_failed.set()
                 return
             status = response[0]
-            if (
-                status >= MIN_SERVER_ERROR_STATUS
-                or status in OVERLOADED_STATUSES
-            ):
+            if _is_failure(status):
                 is_unknown = (
                     exchange.is_write and status not in OVERLOADED_STATUSES
                 )
@@ -547,18 +547,23 @@
         Raises:
             _CallError: There was no response.
         """
+        if not exchange.is_long_poll():
+            self.contact.record_call()
         try:
             with anyio.fail_after(exchange.timeout_s):
                 async with self._pool.use(address) as connection:
                     await connection.start(exchange.request, _accept_any_head)
                     body = await connection.read_body()
-                    return connection.head.status, body
+                    status = connection.head.status
         except upstream.ExchangeError as error:
             is_unknown = exchange.is_write and error.was_sent
             raise _create_error(is_unknown, str(error)) from error
         except TimeoutError as error:
             message = f"no response within {exchange.timeout_s} s"
             raise _create_error(exchange.is_write, message) from error
+        if not _is_failure(status):
+            self.contact.record_answer()
+        return status, body
 
     def _record_direct_result(self, is_direct: bool, reason: str) -> None:
         """Record the result of a direct call; a failure aborts long polls."""
@@ -574,6 +579,11 @@
             logs.log_message("store:direct", is_direct=is_direct, reason=reason)
 
 
+def _is_failure(status: int) -> bool:
+    """Return whether the service, or a relay, could not handle a call."""
+    return status >= MIN_SERVER_ERROR_STATUS or status in OVERLOADED_STATUSES
+
+
 def _accept_any_head(head: upstream.Head) -> bool:
     return True
 
--- a/tests/site.py
+++ b/tests/site.py
@@ -11,6 +11,7 @@
 import h11
 
 from eelgrassgate import deadlines
+from eelgrassgate.batches import intake
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import endpoint_limits
@@ -29,6 +30,7 @@
 from eelgrassgate.quarantine import quarantine
 from eelgrassgate.standins import endpoint
 from eelgrassgate.store import base
+from eelgrassgate.store import contact
 from eelgrassgate.store import memory
 
 HOST: Final = "desk.example"
@@ -179,10 +181,14 @@
 
     Attributes:
         submissions: The store that holds accepted jobs.
+        intake: Decides whether that store can accept jobs.
     """
 
     def __init__(self) -> None:
         self.submissions: base.Store = memory.create_memory_store()
+        self.intake = intake.create_intake(
+            self.submissions, contact.create_contact()
+        )
 
     def read_job_call(self, call: Any) -> Any:
         return platform_batch_calls.PlatformBatchDialect().read_job_call(call)
@@ -191,6 +197,7 @@
         reader: Any = None
         await batch_calls.create_batch_calls(
             self.submissions,
+            self.intake,
             reader,
             dialect.PlatformDialect(),
             platform_batch_calls.PlatformBatchDialect(),
--- a/tests/test_batch_daemon.py
+++ b/tests/test_batch_daemon.py
@@ -19,6 +19,7 @@
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
 from eelgrassgate.store import base
+from eelgrassgate.store import contact
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
@@ -34,6 +35,8 @@
 class DirectStore(faulty.FaultyStore):
     """A store that every process reaches directly, without relays."""
 
+    contact = contact.create_contact()
+
     def is_directly_reachable(self) -> bool:
         return True
 
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -24,6 +24,7 @@
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
 from eelgrassgate.store import base
+from eelgrassgate.store import contact
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 from tests import loopback
@@ -52,6 +53,7 @@
     """One process's access to the store, across a link if there is one."""
 
     link: _Link | None = None
+    contact = contact.create_contact()
 
     def is_directly_reachable(self) -> bool:
         return not self.faults.is_down
