Pick ports for started processes outside of those of outgoing connections

A process that a test starts got a port that was free when it was picked; until the process listens, an outgoing connection of another process could take it, and the daemon was then not ready. Ports are picked below that range, each once, by one function instead of three.

Whether this is what test_faults_lose_and_double_nothing failed with once is not shown.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,7 +9,6 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,7 +18,8 @@
 import anyio
 import httpx
 
-HOST: Final = "127.0.0.1"
+from bench import ports
+
 READY_TIMEOUT_S: Final = 60.0
 POLL_INTERVAL_S: Final = 0.05
 STOP_TIMEOUT_S: Final = 15.0
@@ -130,13 +130,6 @@
             await anyio.to_thread.run_sync(processes.stop_all)
 
 
-def pick_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 async def wait_until_open(port: int) -> None:
     """Wait until a process accepts connections at `port`.
 
@@ -146,7 +139,7 @@
     deadline = time.monotonic() + READY_TIMEOUT_S
     while time.monotonic() < deadline:
         with contextlib.suppress(OSError):
-            await (await anyio.connect_tcp(HOST, port)).aclose()
+            await (await anyio.connect_tcp(ports.HOST, port)).aclose()
             return
         await anyio.sleep(POLL_INTERVAL_S)
     raise NotReadyError(f"port {port}")
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -17,6 +17,7 @@
 import msgspec
 from returns import result
 
+from bench import ports
 from bench import processes
 from eelgrassgate.config import edit
 from eelgrassgate.config import fleet
@@ -112,7 +113,7 @@
 
     def start_entry(self, name: str, number: int) -> None:
         """Start an entry."""
-        listen_port, link_port = processes.pick_port(), processes.pick_port()
+        listen_port, link_port = ports.pick_port(), ports.pick_port()
         path = self.processes.write_settings(
             name,
             {
@@ -121,24 +122,26 @@
                     "store_url": self.store_url,
                     "instances_url": self.instances_url,
                 },
-                "listen": f"{processes.HOST}:{listen_port}",
-                "link_listen": f"{processes.HOST}:{link_port}",
+                "listen": f"{ports.HOST}:{listen_port}",
+                "link_listen": f"{ports.HOST}:{link_port}",
             },
         )
         self._start_daemon(name, ["entry", "--settings", path])
-        self.urls_by_entry[name] = f"http://{processes.HOST}:{listen_port}"
+        self.urls_by_entry[name] = f"http://{ports.HOST}:{listen_port}"
         self._add_instance(name, "entry", link_port, number)
 
     async def _start_platform(self) -> None:
-        ports = [processes.pick_port() for _ in range(2)]
+        listen_ports = [ports.pick_port() for _ in range(2)]
         self.store_url, self.instances_url = (
-            f"http://{processes.HOST}:{port}" for port in ports
+            f"http://{ports.HOST}:{port}" for port in listen_ports
         )
-        for name, port in zip(("store", "instances"), ports, strict=True):
+        for name, port in zip(
+            ("store", "instances"), listen_ports, strict=True
+        ):
             self.processes.start(
                 name, f"eelgrassgate.standins.{name}", [f"--port={port}"]
             )
-        for port in ports:
+        for port in listen_ports:
             await processes.wait_until_open(port)
 
     async def _configure(self) -> None:
@@ -157,7 +160,7 @@
         await store.close()
 
     def _start_engine(self, name: str, number: int) -> None:
-        port = processes.pick_port()
+        port = ports.pick_port()
         arguments = [
             f"--port={port}",
             f"--models={MODEL}",
@@ -173,7 +176,7 @@
         self._start_agent(name, port, number, extra_settings)
 
     def _start_ledger(self, name: str, number: int) -> None:
-        port = processes.pick_port()
+        port = ports.pick_port()
         self.processes.start(
             name, "eelgrassgate.standins.service", [f"--port={port}"]
         )
@@ -188,15 +191,15 @@
         extra_settings: dict[str, Any],
     ) -> None:
         name = f"agent-{endpoint}"
-        link_port = processes.pick_port()
-        url = f"http://{processes.HOST}:{port}"
+        link_port = ports.pick_port()
+        url = f"http://{ports.HOST}:{port}"
         path = self.processes.write_settings(
             name,
             {
                 "place": _make_place(name, number),
                 "endpoint": endpoint,
                 "url": url,
-                "link_listen": f"{processes.HOST}:{link_port}",
+                "link_listen": f"{ports.HOST}:{link_port}",
                 **extra_settings,
             },
         )
@@ -210,7 +213,7 @@
         self._instances_by_name[name] = instances_base.Instance(
             name=name,
             service=service,
-            address=f"{processes.HOST}:{port}",
+            address=f"{ports.HOST}:{port}",
             zone=ZONES[number % len(ZONES)],
             region=REGION,
         )
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,6 +9,8 @@
 from hypercorn import asyncio as hypercorn_asyncio
 from hypercorn import config as hypercorn_config
 
+from bench import ports
+
 
 @contextlib.asynccontextmanager
 async def serve(app: Any) -> AsyncIterator[str]:
@@ -38,11 +40,4 @@
 
 def find_free_ports(count: int) -> list[int]:
     """Return ports that are free at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    return [ports.pick_port() for _ in range(count)]
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,4 +1,3 @@
-import socket
 import unittest
 
 import anyio
@@ -7,6 +6,7 @@
 import httpx
 import msgspec
 
+from bench import ports
 from eelgrassgate import settings
 from eelgrassgate.agent import daemon as agent_daemon
 from eelgrassgate.config import apply
@@ -26,9 +26,7 @@
 
 
 def find_free_address() -> str:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{free.getsockname()[1]}"
+    return f"{ports.HOST}:{ports.pick_port()}"
 
 
 class StatusTest(unittest.IsolatedAsyncioTestCase):
