Never refuse a job as not accepted whose earlier write may take effect

A caller whose first submission ended without a known outcome sends the job again. If the store was lost by then, or rejected the second write, the answer was 503, though the first write could still be applied. The process now remembers such jobs for a minute and answers 504, which promises nothing.

Ruled out: asking the other gateways; the caller's repeat often reaches another one, which can't know of the first write.

--- a/eelgrassgate/batches/intake.py
+++ b/eelgrassgate/batches/intake.py
@@ -1,8 +1,8 @@
 """Decides whether the store can accept a job now.
 
 The load that this answers: while the store is away, callers go on submitting
-jobs. They wait a few seconds and come back once, so a refusal at once gives
-them another chance, and waiting for the store would use up their time.
+jobs. They have a few seconds, so a refusal at once gives them another chance,
+and waiting for the store would use up their time.
 """
 
 from collections.abc import Callable
@@ -28,13 +28,17 @@
 MAX_RETRY_FRACTION: Final = 1.0 / 3.0
 # Delays are spread over this part of their length.
 RETRY_SPREAD: Final = 0.25
+# How long a write without a known outcome is remembered; longer than any write
+# is delayed on its way.
+UNCONFIRMED_S: Final = 60.0
 
 
 class Intake:
     """Finds out whether jobs can be written to the store.
 
     While the store is lost, one read at a time for all callers checks whether
-    it is back.
+    it is back. A job whose earlier write may still take effect must not be
+    refused as not accepted.
     """
 
     def __init__(
@@ -49,6 +53,25 @@
         self._draw = draw
         self._probe_ended: anyio.Event | None = None
         self._next_probe_at = 0.0
+        self._unconfirmed_until_by_job: dict[str, float] = {}
+
+    def is_unconfirmed(self, job: str) -> bool:
+        """Return whether an earlier write of a job may still take effect."""
+        until = self._unconfirmed_until_by_job.get(job)
+        return until is not None and not deadlines.is_past(until)
+
+    def record_write(self, job: str) -> None:
+        """Record that a job is about to be written."""
+        self._unconfirmed_until_by_job = {
+            name: until
+            for name, until in self._unconfirmed_until_by_job.items()
+            if not deadlines.is_past(until)
+        }
+        self._unconfirmed_until_by_job[job] = deadlines.after(UNCONFIRMED_S)
+
+    def record_outcome(self, job: str) -> None:
+        """Record that the outcome of all writes of a job is known."""
+        self._unconfirmed_until_by_job.pop(job, None)
 
     async def check(self, deadline: float) -> float | None:
         """Return None if the store answers, else the retry delay in seconds.
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -109,28 +109,39 @@
         if not items or not call.id or len(call.id) > records.MAX_ID_CHARS:
             await responder.reply(BAD_REQUEST)
             return
+        is_unconfirmed = self._intake.is_unconfirmed(call.id)
         retry_delay_s = await self._intake.check(call.deadline)
         if retry_delay_s is not None:
             logs.log_message(
                 "refused",
                 id=call.id,
                 reason="store lost",
-                status=UNAVAILABLE,
+                status=GATEWAY_TIMEOUT if is_unconfirmed else UNAVAILABLE,
                 retry_ms=deadlines.to_ms(retry_delay_s),
             )
-            await self._reply_unavailable(responder, retry_delay_s)
+            if is_unconfirmed:
+                await responder.reply(GATEWAY_TIMEOUT)
+            else:
+                await self._reply_unavailable(responder, retry_delay_s)
             return
+        self._intake.record_write(call.id)
         accepted = await submission.submit(
             self._store, call, route, workspace, items, config_version
         )
+        outcome = accepted.outcome
+        if outcome is submission.Outcome.NOT_DONE and is_unconfirmed:
+            # An earlier write may still take effect.
+            outcome = submission.Outcome.UNKNOWN
+        if outcome is not submission.Outcome.UNKNOWN:
+            self._intake.record_outcome(call.id)
         logs.log_message(
             "job submitted",
             id=call.id,
             items=len(items),
             bytes=len(call.body),
-            outcome=accepted.outcome.value,
+            outcome=outcome.value,
         )
-        await self._reply_outcome(responder, accepted.outcome, ACCEPTED)
+        await self._reply_outcome(responder, outcome, ACCEPTED)
         if accepted.open_revision:
             await self._reader.announce(accepted.job, accepted.open_revision)
 
--- a/eelgrassgate/gateway/rates.py
+++ b/eelgrassgate/gateway/rates.py
@@ -23,8 +23,9 @@
 # admitted just before; half of the burst can be granted twice within the window
 # over which the limit is measured without exceeding the limit.
 INITIAL_FILL: Final = 0.5
-# Least initial tokens, up to the burst. The first request must not be refused
-# because of a small burst; as many are allowed beyond any limit.
+# Least initial tokens, up to the burst, so that a small burst does not make a
+# starting gateway refuse its first request. The users allow 20 requests beyond
+# any limit.
 MIN_INITIAL_TOKENS: Final = 8.0
 # Retry delays are sent in whole milliseconds; rounding down would cause a
 # second refusal.
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -7,6 +7,7 @@
 import unittest
 
 import anyio
+from returns import result
 
 from eelgrassgate import deadlines
 from eelgrassgate.batches import intake as intake_lib
@@ -110,22 +111,28 @@
     """A store whose reads tell a contact whether they were answered."""
 
     contact: contact_lib.Contact
+    clock: test_decisions.Clock
 
     async def read(self, key: str) -> Any:
         self.contact.record_call()
         answer = await super().read(key)
-        self.contact.record_answer()
+        if isinstance(answer, result.Success):
+            self.contact.record_answer()
         return answer
 
+    def lose(self) -> None:
+        """Let a call be unanswered for 2 s."""
+        self.contact.record_call()
+        self.clock.now += 2.0
+
 
 def make_lost_store() -> RecordingStore:
     """Return a silent store without an answer for 2 s."""
     store: Any = faulty.create_faulty_store(memory.create_memory_store())
     store.__class__ = RecordingStore
-    clock = test_decisions.Clock()
-    store.contact = contact_lib.create_contact(clock)
-    store.contact.record_call()
-    clock.now += 2.0
+    store.clock = test_decisions.Clock()
+    store.contact = contact_lib.create_contact(store.clock)
+    store.lose()
     store.faults.delay_s = SILENT_S
     made: RecordingStore = store
     return made
@@ -140,10 +147,15 @@
 
 
 class IntakeTest(unittest.IsolatedAsyncioTestCase):
-    async def submit(self, site: site_lib.Site) -> site_lib.Response:
+    async def submit(
+        self, site: site_lib.Site, remaining_ms: int = 5_000
+    ) -> site_lib.Response:
         with anyio.fail_after(TIMEOUT_S):
             return await site_lib.call(
-                site.address, "/batch/1", body=test_forwarding.BATCH_BODY
+                site.address,
+                "/batch/1",
+                body=test_forwarding.BATCH_BODY,
+                remaining_ms=remaining_ms,
             )
 
     async def test_jobs_are_refused_at_once_while_the_store_is_lost(
@@ -169,6 +181,32 @@
         page = (await store.read_range(records.JOBS)).unwrap()
         self.assertEqual(len(page.records), 1)
 
+    async def test_job_that_may_have_been_written_is_not_refused_as_not_run(
+        self,
+    ) -> None:
+        for name, is_lost in (
+            ("the store is lost by then", True),
+            ("the store rejects the repeated write", False),
+        ):
+            with self.subTest(name):
+                store = make_lost_store()
+                store.contact.record_answer()
+                store.faults.delay_s = 0.0
+                async with open_site(store) as site:
+                    # No outcome is known by the caller's deadline.
+                    store.faults.lost_replies = 1_000
+                    response = await self.submit(site, remaining_ms=600)
+                    self.assertEqual(response.status, 504)
+                    store.faults.lost_replies = 0
+                    store.faults.is_down = True
+                    if is_lost:
+                        store.lose()
+                    self.assertEqual((await self.submit(site)).status, 504)
+                    store.faults.is_down = False
+                    store.contact.record_answer()
+                    # The repeated job meets its own record.
+                    self.assertEqual((await self.submit(site)).status, 202)
+
     async def test_one_read_checks_the_store_for_all_callers(self) -> None:
         store = make_lost_store()
         intake = intake_lib.create_intake(store, store.contact)
