--- a/eelgrassgate/peering/datagrams.py
+++ b/eelgrassgate/peering/datagrams.py
@@ -1,8 +1,7 @@
 """A UDP socket that reads all waiting datagrams at once.
 
 The load that this answers: each of 70 processes gets some 400 datagrams a
-second. With one pass of the event loop for each of them, they cost a process
-more than the requests that it forwards.
+second, each of which would otherwise take a pass of the event loop.
 """
 
 import socket
