Log and count requests that end without a response

The logs could not show it: the line of a request holds the status that was recorded, a request that ends before it is forwarded has no line, and a connection that is closed on a malformed request or by a shutdown left none either.

Adds a line and a counter for each request whose connection ends without a response, with the version of the configuration and whether the caller left first, and lines for refusals of unreadable requests and for bytes that arrive while an idle connection is closed. No behavior changes.

--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -35,6 +35,12 @@
             ("workspace", "route", "status"),
             registry=self._registry,
         )
+        self._unanswered = prometheus_client.Counter(
+            "eelgrassgate_unanswered_requests",
+            "Requests without a response, by whether the caller disconnected.",
+            ("disconnected",),
+            registry=self._registry,
+        )
         self._latency = prometheus_client.Histogram(
             "eelgrassgate_first_byte_seconds",
             "Seconds from a request to the first byte of its answer.",
@@ -115,6 +121,10 @@
             str(status),
         ).inc()
 
+    def count_unanswered(self, has_disconnected: bool) -> None:
+        """Count a request whose connection ended without a response."""
+        self._unanswered.labels(str(has_disconnected).lower()).inc()
+
     def observe_first_byte(
         self, workspace: str, kind: str, seconds: float
     ) -> None:
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -79,6 +79,19 @@
                 id=call.id,
                 trace=traceback.format_exc()[-2_000:],
             )
+        finally:
+            if not responder.has_begun:
+                logs.log_message(
+                    "request unanswered",
+                    id=call.id,
+                    has_disconnected=responder.has_disconnected(),
+                    version=self._read_catalog().version,
+                    took_ms=round(
+                        (deadlines.now() - incoming.received_at)
+                        * deadlines.MS_PER_S
+                    ),
+                )
+                self._metrics.count_unanswered(responder.has_disconnected())
 
     async def _handle_request(
         self,
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate.http1 import sockets
 
 READ_SIZE_BYTES: Final = 65_536
@@ -85,10 +86,19 @@
         """Initialize for the request that was just read."""
         self._http = connection
         self._stream = stream
+        self._has_disconnected = False
         self.status = 0
         self.begun_at = 0.0
         self.is_closing = False
 
+    def has_disconnected(self) -> bool:
+        """Return whether the client has closed the connection."""
+        return self._has_disconnected
+
+    def record_disconnect(self) -> None:
+        """Record that the client has closed the connection."""
+        self._has_disconnected = True
+
     @property
     def has_begun(self) -> bool:
         """Whether the head of the response has been sent."""
@@ -156,9 +166,13 @@
         try:
             with anyio.fail_after(WRITE_TIMEOUT_S):
                 await self._stream.send(data)
-        except (OSError, anyio.BrokenResourceError, TimeoutError) as error:
-            raise ClientDisconnectedError from error
-        except anyio.ClosedResourceError as error:
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            TimeoutError,
+        ) as error:
+            self.record_disconnect()
             raise ClientDisconnectedError from error
 
 
@@ -208,6 +222,7 @@
 
     async def _reply_error(self, status: int) -> None:
         """Respond with an error to a request that can't be read."""
+        logs.log_message("request unreadable", status=status)
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         responder = Responder(self._http, self._stream)
@@ -288,6 +303,7 @@
         if self._is_closed:
             # The data arrived while the connection was being closed; the client
             # sees that its request was not accepted.
+            logs.log_message("request dropped on close", bytes=len(data))
             raise anyio.ClosedResourceError
         self._http.receive_data(data)
         return None
@@ -298,7 +314,9 @@
         responder = Responder(self._http, self._stream)
         responder.is_closing = self._is_closing()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_disconnect, tasks.cancel_scope)
+            tasks.start_soon(
+                self._watch_disconnect, responder, tasks.cancel_scope
+            )
             try:
                 await self._handle(incoming, responder)
             except (ClientDisconnectedError, h11.LocalProtocolError):
@@ -312,7 +330,9 @@
         self._http.start_next_cycle()
         return True
 
-    async def _watch_disconnect(self, scope: anyio.CancelScope) -> None:
+    async def _watch_disconnect(
+        self, responder: Responder, scope: anyio.CancelScope
+    ) -> None:
         """Cancel the handler when the client disconnects."""
         while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
             try:
@@ -324,6 +344,7 @@
                 OSError,
             ):
                 self._has_received_eof = True
+                responder.record_disconnect()
                 scope.cancel()
                 return
             self._read_ahead.extend(data)
