Send the head of a response also when its handler is cancelled

Cause: a response counts as begun, and h11 as sent, before its first byte is written, and writing begins with a checkpoint. A deadline or an idle timeout that cancels the handler there drops the bytes; nothing can follow on the connection, so it is closed without a response. The class: state that is changed before the step that it records, with a cancellation in between.

Evidence: the test fails without the change (0 instead of 503). The deadline of a request and the idle timeout of an attempt both enclose such writes.

Change: complete responses and heads are written in a shielded scope, bounded by the write timeout as before, and a head that h11 rejects no longer counts as begun. The body of a stream is not shielded: a caller that doesn't read must not hold up the deadline.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -115,15 +115,24 @@
         length: int | None = None,
     ) -> None:
         """Send the head; without a length the body is sent chunked."""
+        head = self._build_head(status, headers, length)
         self._record_begin(status)
+        await self._write_shielded(self._http.send(head))
+
+    def _build_head(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        length: int | None,
+    ) -> h11.Response:
         sent = list(headers)
         if length is not None:
             sent.append((b"content-length", b"%d" % length))
         if self.is_closing:
             sent.append((b"connection", b"close"))
-        reason = _get_reason(status)
-        head = h11.Response(status_code=status, headers=sent, reason=reason)
-        await self._write(self._http.send(head))
+        return h11.Response(
+            status_code=status, headers=sent, reason=_get_reason(status)
+        )
 
     async def send(self, data: bytes) -> None:
         """Send part of the body."""
@@ -148,17 +157,21 @@
         body: bytes = b"",
     ) -> None:
         """Send a complete response with a single write."""
+        head = self._build_head(status, headers, len(body))
         self._record_begin(status)
-        sent = [*headers, (b"content-length", b"%d" % len(body))]
-        if self.is_closing:
-            sent.append((b"connection", b"close"))
-        reason = _get_reason(status)
-        head = h11.Response(status_code=status, headers=sent, reason=reason)
         data = self._http.send(head) or b""
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        await self._write_shielded(data)
+
+    async def _write_shielded(self, data: bytes | None) -> None:
+        """Write although the handler is cancelled, up to the write timeout.
+
+        h11 counts the bytes as sent, so no other response could follow.
+        """
+        with anyio.CancelScope(shield=True):
+            await self._write(data)
 
     async def _write(self, data: bytes | None) -> None:
         if not data:
--- /dev/null
+++ b/tests/test_unanswered_requests.py
@@ -0,0 +1,56 @@
+"""Whole requests on kept connections get an answer or a refusal."""
+
+import unittest
+
+import anyio
+import anyio.abc
+import h11
+
+from eelgrassgate.http1 import downstream
+from tests import site as site_lib
+
+
+def write_request(path: str = "/plain/a", headers: str = "") -> bytes:
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {site_lib.HOST}\r\nRequest-Id: r1\r\n"
+        f"Authorization: Bearer {site_lib.KEY}\r\n{headers}"
+        "Content-Length: 2\r\n\r\nhi"
+    ).encode()
+
+
+async def read_status(stream: anyio.abc.SocketStream) -> int:
+    """Return the status of the next response; 0 if there is none."""
+    client = h11.Connection(h11.CLIENT)
+    client.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+    client.send(h11.EndOfMessage())
+    with anyio.fail_after(site_lib.TEST_TIMEOUT_S):
+        while True:
+            try:
+                client.receive_data(await stream.receive())
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return 0
+            event = client.next_event()
+            if isinstance(event, h11.Response):
+                return event.status_code
+
+
+class CancelTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refusal_that_is_cancelled_while_it_is_sent_arrives(
+        self,
+    ) -> None:
+        async def handle(
+            incoming: downstream.IncomingRequest,
+            responder: downstream.Responder,
+        ) -> None:
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                await responder.reply(503)
+
+        listener = downstream.Listener(downstream.Limits, handle, lambda: False)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(listener.run)
+            port = await tasks.start(listener.serve, "127.0.0.1:0")
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(write_request())
+                self.assertEqual(await read_status(stream), 503)
+            tasks.cancel_scope.cancel()
