Answer requests whose handling fails by an unexpected exception

Cause: Service.handle logged an unexpected exception and closed the connection, whatever the request's progress. A safe request was given up without a retry, and one that had surely not run looked as if it may have. An endpoint with an address that can't be parsed is enough: each request placed at it ends so, and as it has nothing in flight it is chosen again and again.

Change: the forwarder, which knows what was sent, answers 503 if the request has surely not run, else 502; any other handler's failure is answered with 500, on all listeners. The trace is logged as before, in one place.

Ruled out: retrying at another endpoint. The exception is a bug, and the next attempt would most likely meet it too.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import time
-import traceback
 from typing import Final
 import urllib.parse
 
@@ -533,11 +532,7 @@
         except Exception:
             # An error in one item must not stop the other items.
             reason = "internal error"
-            logs.log_message(
-                "internal error",
-                id=run.progress.item.id,
-                trace=traceback.format_exc()[-2_000:],
-            )
+            logs.log_exception("internal error", id=run.progress.item.id)
         finally:
             tracking.__exit__(None, None, None)  # type: ignore[attr-defined]
             self._runs.remove(run)
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -132,14 +132,23 @@
             downstream.ClientDisconnectedError: The caller disconnected.
         """
         progress = _Progress()
+        reason = "timeout"
         with anyio.move_on_after(deadlines.compute_remaining(call.deadline)):
-            await self._forward_with_retries(
-                call, route, workspace, responder, progress
-            )
-            return
-        if responder.has_begun:
-            raise IncompleteResponseError("request timed out")
-        await self._reply_failure(call, progress, responder, "timeout")
+            try:
+                await self._forward_with_retries(
+                    call, route, workspace, responder, progress
+                )
+                return
+            except (
+                IncompleteResponseError,
+                downstream.ClientDisconnectedError,
+            ):
+                raise
+            except Exception:
+                # The caller learns truthfully whether the request may have run.
+                logs.log_exception("internal error", id=call.id)
+                reason = "internal error"
+        await self._reply_failure(call, progress, responder, reason)
 
     async def _forward_with_retries(
         self,
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import traceback
 from typing import Final
 
 import msgspec
@@ -69,16 +68,6 @@
             logs.log_message(
                 "response truncated", id=call.id, reason=str(error)
             )
-        except downstream.ClientDisconnectedError:
-            raise
-        except Exception:
-            # A bug in handling one request must not stop the process.
-            responder.is_closing = True
-            logs.log_message(
-                "internal error",
-                id=call.id,
-                trace=traceback.format_exc()[-2_000:],
-            )
         finally:
             if not responder.has_begun:
                 logs.log_message(
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -332,9 +332,11 @@
             )
             try:
                 await self._handle(incoming, responder)
-            except (ClientDisconnectedError, h11.LocalProtocolError):
-                # Nothing more can be sent on this connection.
+            except ClientDisconnectedError:
                 responder.is_closing = True
+            except Exception:
+                # A bug in handling one request must not stop the process.
+                await self._reply_internal_error(incoming, responder)
             tasks.cancel_scope.cancel()
         if self._http.our_state is not h11.DONE or responder.is_closing:
             return False
@@ -343,6 +345,22 @@
         self._http.start_next_cycle()
         return True
 
+    async def _reply_internal_error(
+        self, incoming: IncomingRequest, responder: Responder
+    ) -> None:
+        """Respond to a request whose handler failed; it may have run."""
+        logs.log_exception(
+            "internal error", target=incoming.target.decode("latin-1")
+        )
+        responder.is_closing = True
+        if responder.has_begun:
+            return
+        try:
+            await responder.reply(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+        except (ClientDisconnectedError, h11.LocalProtocolError):
+            # Nothing more can be sent on this connection.
+            return
+
     async def _watch_disconnect(
         self, responder: Responder, scope: anyio.CancelScope
     ) -> None:
--- a/eelgrassgate/logs.py
+++ b/eelgrassgate/logs.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import time
+import traceback
 from typing import Any
 from typing import Final
 
@@ -13,6 +14,8 @@
 
 # Writes to a pipe are atomic up to 4,096 bytes (PIPE_BUF on Linux).
 MAX_LINE_BYTES: Final = 4_000
+# The last part of a trace, so that its line stays under the limit.
+MAX_TRACE_CHARS: Final = 2_000
 # Limit for each message kind. An instance handles at most about 200 requests
 # per second and logs a few lines for each.
 MAX_LINES_PER_S: Final = 300.0
@@ -85,6 +88,12 @@
     _LOG_MESSAGE(kind, **fields)
 
 
+def log_exception(kind: str, **fields: object) -> None:
+    """Log a message with the trace of the exception that is being handled."""
+    trace = traceback.format_exc()[-MAX_TRACE_CHARS:]
+    _LOG_MESSAGE(kind, **fields, trace=trace)
+
+
 def start_logging(role: str, instance: str) -> None:
     """Log this process's messages to standard output."""
     sys.stdout.flush()
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,6 +1,8 @@
 """Whole requests on kept connections get an answer or a refusal."""
 
+from typing import Any
 import unittest
+from unittest import mock
 
 import anyio
 import anyio.abc
@@ -34,6 +36,32 @@
                 return event.status_code
 
 
+class InternalErrorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_is_answered_truthfully_after_an_internal_error(
+        self,
+    ) -> None:
+        for name, attribute, status, runs in (
+            ("before it is forwarded", "rates.admit", 500, 0),
+            ("before it is sent", "placement.choose_endpoint", 503, 0),
+            ("after it was sent", "endpoint_limits.record_response", 502, 1),
+        ):
+            with self.subTest(name):
+                async with site_lib.open_site() as site:
+                    owners: dict[str, Any] = {
+                        "rates": site.rates,
+                        "placement": site.placement,
+                        "endpoint_limits": site.placement.endpoint_limits,
+                    }
+                    owner, _, method = attribute.partition(".")
+                    with mock.patch.object(
+                        owners[owner], method, side_effect=KeyError
+                    ):
+                        response = await site_lib.call(site.address, "/plain/a")
+                    self.assertEqual(
+                        (response.status, site.count_runs()), (status, runs)
+                    )
+
+
 class CancelTest(unittest.IsolatedAsyncioTestCase):
     async def test_refusal_that_is_cancelled_while_it_is_sent_arrives(
         self,
