Keep a process running when one connection fails unexpectedly

One request whose Time-Remaining has 5,000 digits ended a gateway, with all requests of all its callers: they got neither an answer nor a refusal.

Cause: the connections of a listener share a task group, and an exception that Connection.run does not expect ends it, and so the process. Request heads were parsed outside of the handler's catch, and int() raises for more than 4,300 digits, the division of a number of 400 digits for its size. The class: input from outside that is parsed without bounds, in a task whose failure stops more than the one request.

Evidence: both tests fail without the change; the request is cut and the listener ends with ValueError, OverflowError and KeyError.

Change: an unexpected exception closes only its connection and is logged as 'connection failed'. Numbers in requests are bounded by one function; one that is out of bounds counts as absent, as other malformed ones did.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -229,6 +229,9 @@
             return
         except anyio.ClosedResourceError:
             return
+        except Exception:
+            # A bug in handling one connection must not stop the process.
+            logs.log_exception("connection failed")
         finally:
             self.is_idle = False
             await sockets.abort(self._stream)
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -38,6 +38,8 @@
 MS_PER_S: Final = 1000.0
 # Remaining time of a request without the header.
 DEFAULT_REMAINING_MS: Final = 30_000
+# Longer than any number of the protocol.
+MAX_DIGITS: Final = 15
 
 # Headers of a single connection (RFC 9110, 7.6.1).
 HOP_BY_HOP: Final = frozenset(
@@ -72,7 +74,7 @@
         """Parse a request."""
         target = incoming.target.decode("latin-1")
         host = (incoming.get(b"host") or b"").decode("latin-1")
-        remaining = _parse_number(
+        remaining = parse_number(
             incoming.get(TIME_REMAINING), DEFAULT_REMAINING_MS
         )
         return calls.Call(
@@ -145,7 +147,7 @@
 
     def read_wait_s(self, incoming: downstream.IncomingRequest) -> float:
         """Return how many seconds a caller waits for a new result."""
-        return _parse_number(incoming.get(WAIT_TIME), 0) / MS_PER_S
+        return parse_number(incoming.get(WAIT_TIME), 0) / MS_PER_S
 
 
 def _filter_headers(
@@ -166,10 +168,12 @@
     )
 
 
-def _parse_number(value: bytes | None, default: int) -> int:
-    if value is None or not value.strip().isdigit():
+def parse_number(value: bytes | None, default: int) -> int:
+    """Parse a whole number; a value that is none counts as absent."""
+    text = (value or b"").strip()
+    if not text.isdigit() or len(text) > MAX_DIGITS:
         return default
-    return int(value)
+    return int(text)
 
 
 def _parse_limit(value: bytes | None) -> float | None:
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -9,6 +9,7 @@
 import h11
 
 from eelgrassgate.http1 import downstream
+from eelgrassgate.platform import dialect
 from tests import site as site_lib
 
 
@@ -61,6 +62,34 @@
                         (response.status, site.count_runs()), (status, runs)
                     )
 
+    async def test_malformed_request_does_not_stop_the_process(self) -> None:
+        for name, headers in (
+            ("many digits", f"Time-Remaining: {'9' * 5000}\r\n"),
+            ("a large number", f"Time-Remaining: {'9' * 400}\r\n"),
+        ):
+            with self.subTest(name):
+                async with site_lib.open_site() as site:
+                    host, _, port = site.address.rpartition(":")
+                    async with await anyio.connect_tcp(
+                        host, int(port)
+                    ) as stream:
+                        await stream.send(write_request(headers=headers))
+                        self.assertEqual(await read_status(stream), 200)
+
+    async def test_failure_of_one_connection_does_not_stop_the_process(
+        self,
+    ) -> None:
+        async with site_lib.open_site() as site:
+            for owner, method, status in (
+                (dialect.PlatformDialect, "read_call", 500),
+                (downstream.Connection, "_read_request", 0),
+            ):
+                with mock.patch.object(owner, method, side_effect=KeyError):
+                    response = await site_lib.call(site.address, "/plain/a")
+                    self.assertEqual(response.status, status)
+            response = await site_lib.call(site.address, "/plain/a")
+            self.assertEqual(response.status, 200)
+
 
 class CancelTest(unittest.IsolatedAsyncioTestCase):
     async def test_refusal_that_is_cancelled_while_it_is_sent_arrives(
