Keep accepting connections after accept fails

A gateway that runs out of descriptors ended, and with it all its open requests; likewise if a client resets its connection before it is accepted.

Cause: accept reports such errors as OSError, which ended the listener's task and so the process.

Evidence: the test fails without the change; the listener ends with EMFILE.

Change: the listener logs 'accept failed' and accepts again after 50 ms.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -20,6 +20,7 @@
 MAX_READ_AHEAD_BYTES: Final = 65_536
 # Listen backlog; callers reconnect in bursts after a restart.
 BACKLOG: Final = 1024
+ACCEPT_RETRY_DELAY_S: Final = 0.05
 # How often a drain checks for idle connections.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # A connection is closed if the client does not read for this long.
@@ -459,7 +460,15 @@
             local_host=host, local_port=int(port), backlog=BACKLOG
         ) as listener:
             task_status.started(listener.extra(abc.SocketAttribute.local_port))
-            await listener.serve(self._serve_one, self.tasks)
+            while True:
+                try:
+                    await listener.serve(self._serve_one, self.tasks)
+                except* OSError as errors:
+                    # Out of descriptors, or the client reset before `accept`.
+                    logs.log_message(
+                        "accept failed", reason=str(errors.exceptions)
+                    )
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
     async def run(
         self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,5 +1,7 @@
 """Whole requests on kept connections get an answer or a refusal."""
 
+import asyncio
+import errno
 from typing import Any
 import unittest
 from unittest import mock
@@ -91,6 +93,25 @@
             self.assertEqual(response.status, 200)
 
 
+class AcceptTest(unittest.IsolatedAsyncioTestCase):
+    async def test_failure_to_accept_does_not_stop_the_process(self) -> None:
+        loop = asyncio.get_running_loop()
+        errors = [OSError(errno.EMFILE, ""), OSError(errno.ECONNABORTED, "")]
+
+        async def accept(raw: Any) -> Any:
+            if errors:
+                raise errors.pop()
+            return await sock_accept(raw)
+
+        sock_accept = loop.sock_accept
+        async with site_lib.open_site() as site:
+            with mock.patch.object(loop, "sock_accept", accept):
+                for _ in range(3):
+                    response = await site_lib.call(site.address, "/plain/a")
+                    self.assertEqual(response.status, 200)
+        self.assertEqual(errors, [])
+
+
 class CancelTest(unittest.IsolatedAsyncioTestCase):
     async def test_refusal_that_is_cancelled_while_it_is_sent_arrives(
         self,
