Answer at the deadline although part of a response has arrived

Cause: responses to requests that may run once, and errors to streams, were forwarded as they arrived: head, body and end in three writes. A deadline between them cuts the connection, while an own 504 would have been possible until the first byte had left. A worker ends a request with 504 at the time limit that it was given, which is the gateway's own deadline, so the two meet all the time.

Change: all responses but event streams are buffered up to 256 KiB and sent whole with one write, as those to idempotent requests were; one that has not arrived whole at the deadline, or breaks off, is replaced by 504 or 502, which promise nothing. The separate path for other requests goes.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -30,8 +30,8 @@
 # Time without data after which a resumable stream moves to another endpoint;
 # callers wait at least 2 s before they give up.
 STREAM_IDLE_TIMEOUT_S: Final = 1.2
-# Responses to idempotent requests are buffered up to this size so that an
-# incomplete one can be retried.
+# Responses other than streams are buffered up to this size, so that an
+# incomplete one can be retried or replaced by an error.
 MAX_BUFFERED_BYTES: Final = 262_144
 # No further attempt is made with less time remaining.
 MIN_REMAINING_S: Final = 0.02
@@ -370,12 +370,9 @@
             return await self._forward_events(
                 connection, responder, progress, idle_timeout_s
             )
-        if route.is_idempotent():
-            return await self._forward_buffered(
-                connection, route, responder, progress, idle_timeout_s
-            )
-        await self._forward_chunks(connection, responder, progress)
-        return Result.DONE
+        return await self._forward_buffered(
+            connection, route, responder, progress, idle_timeout_s
+        )
 
     async def _forward_buffered(
         self,
@@ -385,12 +382,20 @@
         progress: _Progress,
         idle_timeout_s: float,
     ) -> Result:
-        """Buffer a response so that an incomplete one can be retried."""
+        """Forward a response at once when it is complete.
+
+        An incomplete one can be retried, or replaced by an error. Large
+        responses are forwarded as they arrive.
+        """
         parts: list[bytes] = []
         size = 0
         head = connection.head
         has_attempts_left = progress.attempts + 1 < route.max_attempts
-        can_retry = head.status in SERVER_ERROR_STATUSES and has_attempts_left
+        can_retry = (
+            head.status in SERVER_ERROR_STATUSES
+            and has_attempts_left
+            and route.is_idempotent()
+        )
         with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
             async for part in connection.iterate():
                 if not can_retry:
@@ -431,19 +436,6 @@
             int(length) if length is not None else None,
         )
 
-    async def _forward_chunks(
-        self,
-        connection: upstream.Connection,
-        responder: downstream.Responder,
-        progress: _Progress,
-    ) -> None:
-        """Forward a response as it arrives."""
-        await self._begin_response(connection, responder)
-        async for part in connection.iterate():
-            progress.has_output = True
-            await responder.send(part)
-        await responder.finish()
-
     async def _forward_events(
         self,
         connection: upstream.Connection,
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -12,6 +12,7 @@
 
 from eelgrassgate.http1 import downstream
 from eelgrassgate.platform import dialect
+from eelgrassgate.standins import endpoint
 from tests import site as site_lib
 
 
@@ -113,6 +114,56 @@
 
 
 class CancelTest(unittest.IsolatedAsyncioTestCase):
+    async def test_response_that_arrives_at_the_deadline_is_not_cut(
+        self,
+    ) -> None:
+        write = downstream.Responder._write
+
+        async def write_late(
+            responder: downstream.Responder, data: bytes | None
+        ) -> None:
+            await anyio.sleep(0.2)
+            await write(responder, data)
+
+        for path in ("/plain/a", "/once/a", "/stream/a", "/resumable/a"):
+            with self.subTest(path):
+                async with site_lib.open_site("e1") as site:
+                    site.endpoints[0].behavior = endpoint.Behavior(status=500)
+                    with mock.patch.object(
+                        downstream.Responder, "_write", write_late
+                    ):
+                        response = await site_lib.call(
+                            site.address, path, remaining_ms=300
+                        )
+                    self.assertTrue(response.is_complete)
+                    self.assertIn(response.status, {500, 504})
+
+    async def test_response_without_its_end_is_replaced_at_the_deadline(
+        self,
+    ) -> None:
+        head = b"HTTP/1.1 %d \r\nresponse-signature: 1\r\ncontent-length: 9"
+        for path, status in (
+            ("/plain/a", 504),
+            ("/once/a", 200),
+            ("/once/a", 504),
+            ("/stream/a", 504),
+            ("/resumable/a", 504),
+        ):
+            with self.subTest(path, status=status):
+                async with site_lib.open_site() as site:
+                    for one in site.endpoints:
+                        one.behavior = endpoint.Behavior(
+                            endless=(head % status + b"\r\n\r\nhalf", b""),
+                            endless_delay_s=0.1,
+                        )
+                    response = await site_lib.call(
+                        site.address, path, remaining_ms=300
+                    )
+                    self.assertEqual(
+                        (response.status, response.is_complete), (504, True)
+                    )
+                    self.assertNotIn(b"response-signature", response.headers)
+
     async def test_refusal_that_is_cancelled_while_it_is_sent_arrives(
         self,
     ) -> None:
