Don't count the time that callers take to read as silence of endpoints

A caller that reads slowly, or whose link is full for 1.2 s, got an event of its resumable stream twice.

Cause: the idle timeout of an endpoint enclosed the writes to the caller. If it expired during one, the attempt was given up, the sound endpoint was backed off, and the stream resumed after the event before the one that had just been written. The class: one timeout over waits for two different peers.

Evidence: the test fails without the change with event 2 twice.

Change: the connection to the endpoint holds a deadline for the next progress, which ends waiting for data of that endpoint only; the forwarder moves it after each event that the caller has taken.

Ruled out: recording the event before it is written. The write may be cancelled before its first byte, and the event would be missing.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -11,7 +11,6 @@
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
 from eelgrassgate.http1 import events
-from eelgrassgate.http1 import idle_timeout
 from eelgrassgate.http1 import upstream
 
 # Time without data after which a run is abandoned. Must cover the wait for the
@@ -99,25 +98,23 @@
     try:
         async with pool.use(endpoint.address) as connection:
             connection.on_receive = record_activity
-            with idle_timeout.fail_when_idle(IDLE_TIMEOUT_S) as reset_timeout:
-                await connection.start(
-                    request,
-                    lambda head: (
-                        dialect.read_response_info(head, call.id).is_for_request
-                    ),
-                )
-                info = dialect.read_response_info(connection.head, call.id)
-                if not info.is_misdirected:
-                    endpoint_limits.record_response(
-                        endpoint.id, info.limit_per_s, sent_at
-                    )
-                return await _read_response(
-                    info, connection, reset_timeout, progress
+            connection.stall_deadline = deadlines.after(IDLE_TIMEOUT_S)
+            await connection.start(
+                request,
+                lambda head: (
+                    dialect.read_response_info(head, call.id).is_for_request
+                ),
+            )
+            info = dialect.read_response_info(connection.head, call.id)
+            if not info.is_misdirected:
+                endpoint_limits.record_response(
+                    endpoint.id, info.limit_per_s, sent_at
                 )
+            return await _read_response(info, connection, progress)
     except upstream.ExchangeError as error:
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
         return outcome, str(error)
-    except TimeoutError:
+    except upstream.StalledError:
         return Outcome.BROKEN, "idle timeout"
 
 
@@ -160,7 +157,6 @@
 async def _read_response(
     info: calls.ResponseInfo,
     connection: upstream.Connection,
-    reset_timeout: Callable[[float], None],
     progress: Progress,
 ) -> tuple[Outcome, str]:
     """Read a response and append its events to `progress`.
@@ -168,6 +164,7 @@
     Raises:
         upstream.ExchangeError: The connection failed before the response
             was complete.
+        upstream.StalledError: The endpoint exceeded the idle timeout.
     """
     head = connection.head
     if info.has_not_run:
@@ -191,7 +188,7 @@
         except events.EventTooLargeError as error:
             return Outcome.BROKEN, str(error)
         if complete_events:
-            reset_timeout(IDLE_TIMEOUT_S)
+            connection.stall_deadline = deadlines.after(IDLE_TIMEOUT_S)
         for event in complete_events:
             if not _is_next_event(progress.last_event, event.id):
                 return Outcome.BROKEN, f"event {event.id} is out of order"
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -18,7 +18,6 @@
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
-from eelgrassgate.http1 import idle_timeout
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.quarantine import quarantine as quarantine_lib
@@ -268,7 +267,7 @@
                         endpoint, run, self._quarantine, self._metrics
                     )
                 )
-        except TimeoutError:
+        except upstream.StalledError:
             reason = "idle timeout"
             self._placement.record_unreachable(endpoint)
         except anyio.get_cancelled_exc_class():
@@ -336,20 +335,18 @@
 
         Raises:
             upstream.ExchangeError: The exchange failed.
-            TimeoutError: The endpoint exceeded the idle timeout.
+            upstream.StalledError: The endpoint exceeded the idle timeout.
         """
         request = self._dialect.write_attempt(call, attempt)
         progress.is_in_flight = True
         sent_at = deadlines.now()
-        with idle_timeout.fail_when_idle(idle_timeout_s):
-            await connection.start(
-                request,
-                lambda head: (
-                    self._dialect.read_response_info(
-                        head, call.id
-                    ).is_for_request
-                ),
-            )
+        connection.stall_deadline = deadlines.after(idle_timeout_s)
+        await connection.start(
+            request,
+            lambda head: (
+                self._dialect.read_response_info(head, call.id).is_for_request
+            ),
+        )
         info = self._dialect.read_response_info(connection.head, call.id)
         if not info.is_misdirected:
             self._placement.endpoint_limits.record_response(
@@ -396,23 +393,23 @@
             and has_attempts_left
             and route.is_idempotent()
         )
-        with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
-            async for part in connection.iterate():
-                if not can_retry:
-                    reset_timeout(idle_timeout_s)
-                progress.has_output = True
-                parts.append(part)
-                size += len(part)
-                if size > MAX_BUFFERED_BYTES and can_retry:
-                    raise upstream.ExchangeError(
-                        f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
-                    )
-                if size > MAX_BUFFERED_BYTES and not responder.has_begun:
-                    await self._begin_response(connection, responder)
-                if responder.has_begun:
-                    reset_timeout(idle_timeout.NO_TIMEOUT)
-                    await responder.send(b"".join(parts))
-                    parts.clear()
+        connection.stall_deadline = deadlines.after(idle_timeout_s)
+        async for part in connection.iterate():
+            if not can_retry:
+                connection.stall_deadline = deadlines.after(idle_timeout_s)
+            progress.has_output = True
+            parts.append(part)
+            size += len(part)
+            if size > MAX_BUFFERED_BYTES and can_retry:
+                raise upstream.ExchangeError(
+                    f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
+                )
+            if size > MAX_BUFFERED_BYTES and not responder.has_begun:
+                await self._begin_response(connection, responder)
+            if responder.has_begun:
+                connection.stall_deadline = deadlines.NEVER
+                await responder.send(b"".join(parts))
+                parts.clear()
         if responder.has_begun:
             await responder.finish()
             return Result.DONE
@@ -450,27 +447,26 @@
         the first endpoint.
         """
         splitter = events.Splitter()
-        with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
-            async for part in connection.iterate():
-                try:
-                    complete_events = splitter.feed(part)
-                except events.EventTooLargeError as error:
-                    raise upstream.ExchangeError(str(error), True) from error
-                if not complete_events:
-                    continue
-                reset_timeout(idle_timeout_s)
-                progress.has_output = True
-                if not responder.has_begun:
-                    await responder.begin(
-                        connection.head.status,
-                        self._dialect.filter_response_headers(connection.head),
-                    )
-                await responder.send(
-                    b"".join(one.raw for one in complete_events)
-                )
-                progress.last_event = _find_last_id(
-                    complete_events, progress.last_event
+        connection.stall_deadline = deadlines.after(idle_timeout_s)
+        async for part in connection.iterate():
+            try:
+                complete_events = splitter.feed(part)
+            except events.EventTooLargeError as error:
+                raise upstream.ExchangeError(str(error), True) from error
+            if not complete_events:
+                continue
+            progress.has_output = True
+            if not responder.has_begun:
+                await responder.begin(
+                    connection.head.status,
+                    self._dialect.filter_response_headers(connection.head),
                 )
+            await responder.send(b"".join(one.raw for one in complete_events))
+            progress.last_event = _find_last_id(
+                complete_events, progress.last_event
+            )
+            # The time that the caller takes to read does not count.
+            connection.stall_deadline = deadlines.after(idle_timeout_s)
         if splitter.has_partial_event() or not responder.has_begun:
             raise upstream.ExchangeError("stream ended within an event", True)
         await responder.finish()
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -72,6 +72,10 @@
         self.was_sent = was_sent
 
 
+class StalledError(Exception):
+    """The peer sent nothing useful until `Connection.stall_deadline`."""
+
+
 _CONNECTION_ERRORS: Final = (
     OSError,
     h11.RemoteProtocolError,
@@ -91,6 +95,9 @@
 
     Attributes:
         on_receive: Called whenever data is received.
+        stall_deadline: Monotonic time at which the peer counts as stalled. Only
+            waiting for data ends then, so the user of the connection moves it
+            whenever the exchange has made progress.
         head: Head of the current response.
     """
 
@@ -100,6 +107,7 @@
         self.idle_until = 0.0
         self.is_reusable = False
         self.on_receive: Callable[[], None] = _do_nothing
+        self.stall_deadline = deadlines.NEVER
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._received_bytes = 0
@@ -115,15 +123,18 @@
 
         Raises:
             ExchangeError: The connection failed before the head was received.
+            StalledError: `stall_deadline` passed before.
         """
         self.is_reusable = False
-        failure: ExchangeError | None = None
+        failure: ExchangeError | StalledError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send, request)
             try:
                 await self._read_head(request, is_expected)
             except _CONNECTION_ERRORS as error:
                 failure = _convert_error(error)
+            except StalledError as error:
+                failure = error
             # The peer may respond before it has read the whole body. Sending
             # stops then, and the connection is not reused.
             tasks.cancel_scope.cancel()
@@ -199,19 +210,31 @@
                 return event
             if limit is not None and self._received_bytes > limit:
                 raise h11.RemoteProtocolError("too many bytes and no response")
-            try:
-                data = await self._stream.receive(READ_SIZE_BYTES)
-            except anyio.EndOfStream:
-                data = b""
+            data = await self._receive()
             self._received_bytes += len(data)
             self.on_receive()
             self._http.receive_data(data)
 
+    async def _receive(self) -> bytes:
+        """Return received data; empty at the end of the stream.
+
+        Raises:
+            StalledError: `stall_deadline` passed.
+        """
+        wait_s = deadlines.compute_remaining(self.stall_deadline)
+        with anyio.move_on_after(wait_s):
+            try:
+                return await self._stream.receive(READ_SIZE_BYTES)
+            except anyio.EndOfStream:
+                return b""
+        raise StalledError("no progress")
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body; ends only when the response is complete.
 
         Raises:
             ExchangeError: The response is incomplete.
+            StalledError: `stall_deadline` passed.
         """
         while True:
             try:
@@ -246,6 +269,7 @@
 
         The connection is not reused if the body is long, late or broken.
         """
+        self.stall_deadline = deadlines.NEVER
         with anyio.move_on_after(DISCARD_TIMEOUT_S):
             try:
                 await self.read_body(MAX_DISCARDED_BYTES)
@@ -322,6 +346,7 @@
             yield connection
         finally:
             connection.on_receive = _do_nothing
+            connection.stall_deadline = deadlines.NEVER
             if connection.is_reusable and connection.idle_until:
                 self._release(connection)
             else:
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import h11
 
+from eelgrassgate.gateway import forwarding
 from eelgrassgate.http1 import downstream
 from eelgrassgate.platform import dialect
 from eelgrassgate.standins import endpoint
@@ -183,3 +184,29 @@
                 await stream.send(write_request())
                 self.assertEqual(await read_status(stream), 503)
             tasks.cancel_scope.cancel()
+
+
+class IdleTimeoutTest(unittest.IsolatedAsyncioTestCase):
+    async def test_caller_that_reads_slowly_gets_each_event_once(self) -> None:
+        # The head and the first event are written without a delay.
+        delays = [0.0, 0.0, forwarding.STREAM_IDLE_TIMEOUT_S + 0.3]
+
+        async with site_lib.open_site() as site:
+            handle = site.service.handle
+
+            async def handle_slowly(incoming: Any, responder: Any) -> None:
+                write = responder._write
+
+                async def write_slowly(data: bytes | None) -> None:
+                    await write(data)
+                    await anyio.sleep(delays.pop(0) if delays else 0.0)
+
+                responder._write = write_slowly
+                await handle(incoming, responder)
+
+            for one in site.endpoints:
+                one.behavior = endpoint.Behavior(event_delay_s=0.05)
+            with mock.patch.object(site.service, "handle", handle_slowly):
+                response = await site_lib.call(site.address, "/resumable/a")
+            self.assertEqual(response.body, endpoint.write_stream(4))
+            self.assertEqual(site.count_runs(), 1)
