Return to a silent endpoint when the other one is full

A sound endpoint may fall silent for a second or so. A resumable stream that had begun there was cut although the endpoint went on; a plain request got 502.

Cause: after 1.2 s without an event the stream moves to another endpoint. If that one refuses it, the attempts of the route are used up, and the stream is cut. The class: giving up something that works before the replacement is known to work.

Evidence: the test fails without the change (two of four events, then the end of the connection).

Change: a request that has run in part and is refused at its last allowed endpoint returns to those where it may have run, up to the same number of refusals as before. The number of different endpoints stays within max_attempts.

Ruled out: keeping the silent exchange open beside the next one. Both may work on the request at once, for longer than is allowed. Ruled out too: a longer idle timeout, as callers give up after 2 s.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -40,6 +40,8 @@
 # certainly did not run the request. A separate bound is needed since failed
 # connections do not count as attempts.
 MAX_UNEXECUTED_TRIES: Final = 4
+# Delay before a request returns to an endpoint that was silent.
+RETURN_DELAY_S: Final = 0.1
 # Logged result of an attempt that the gateway cancelled.
 CANCELLED: Final = "stopped"
 
@@ -160,6 +162,7 @@
         """Try endpoints until one responds or no retry is allowed."""
         service = _choose_service(route)
         excluded: set[str] = set()
+        begun_at: set[str] = set()
         while True:
             part = self._quarantine.find_quarantined(call.prompt_parts)
             if part is not None:
@@ -200,7 +203,16 @@
             if outcome is Result.DONE:
                 return
             excluded.add(choice.endpoint.id)
+            if outcome is Result.LOST:
+                begun_at.add(choice.endpoint.id)
             can_retry = _can_retry(route, outcome, progress, call.deadline)
+            if not can_retry and _can_return(
+                route, outcome, progress, call.deadline
+            ):
+                await anyio.sleep(RETURN_DELAY_S)
+                endpoints = self._placement.get_endpoints(service)
+                excluded = {one.id for one in endpoints} - begun_at
+                can_retry = len(excluded) < len(endpoints)
             if progress.has_endpoint_ended and self._quarantine.is_suspect(
                 call.prompt_parts
             ):
@@ -574,6 +586,27 @@
     return progress.attempts < route.max_attempts
 
 
+def _can_return(
+    route: catalog.Route,
+    result: Result,
+    progress: _Progress,
+    deadline: float,
+) -> bool:
+    """Return whether to try again where the request may have run in part.
+
+    `max_attempts` limits the number of different endpoints. One that was only
+    silent may go on, while the last of the others was full.
+    """
+    return (
+        result is Result.NOT_RUN
+        and route.is_idempotent()
+        and progress.may_have_run
+        and progress.unexecuted_tries <= MAX_UNEXECUTED_TRIES
+        and deadlines.compute_remaining(deadline)
+        > RETURN_DELAY_S + MIN_REMAINING_S
+    )
+
+
 def _compute_idle_timeout(
     route: catalog.Route, progress: _Progress, deadline: float
 ) -> float:
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -210,3 +210,27 @@
                 response = await site_lib.call(site.address, "/resumable/a")
             self.assertEqual(response.body, endpoint.write_stream(4))
             self.assertEqual(site.count_runs(), 1)
+
+    async def test_stream_goes_on_if_no_other_endpoint_takes_it(self) -> None:
+        async with site_lib.open_site() as site:
+            first, second = site.endpoints
+            site.loads.set_peer_counts("other", {second.name: 4}, {})
+            first.behavior = endpoint.Behavior(event_delay_s=0.1)
+            second.behavior = endpoint.Behavior(is_overloaded=True)
+
+            async def pause_once() -> None:
+                while not first.runs:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.15)
+                first.behavior.event_delay_s = 9.0
+                await anyio.sleep(0.2)
+                first.behavior.event_delay_s = 0.0
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(pause_once)
+                response = await site_lib.call(site.address, "/resumable/a")
+                tasks.cancel_scope.cancel()
+            self.assertEqual(
+                (response.body, response.is_complete),
+                (endpoint.write_stream(4), True),
+            )
