Break off a body that another run would have continued

Callers of idempotent routes could get a success whose body was the start of one run and then the whole body of another, complete by its framing.

Cause: a body over 262,144 bytes is passed on before it is whole. If it then broke off, the attempt counted as lost and the request, as idempotent, was sent to another endpoint, whose body was written after the part that the caller already had. Only event streams can go on at another endpoint, since they say after which event. An error of a resumable stream's route that was that large was continued as well, with events.

Evidence: a body of 300,000 of 300,080 bytes followed by a second endpoint's 80 bytes: before, the caller's response was complete with both parts, with a length as with chunks; with status 404 the events of the second endpoint followed the text of the error.

Change: a response that has begun is continued only if it is a success of a resumable stream. Anything else ends early, which its framing shows.

Ruled out: bodies up to the limit are held back until they are whole, and a run of a route that isn't idempotent was never followed by another.

The stand-in can now send given bytes in place of a response.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -308,7 +308,7 @@
         self._metrics.count_attempt(endpoint.service, result.value)
         _record_result(progress, result)
         is_broken = responder.has_begun and result is not Result.DONE
-        if is_broken and not route.is_idempotent():
+        if is_broken and not _can_resume(route, responder):
             raise IncompleteResponseError(reason)
         return result
 
@@ -607,6 +607,13 @@
     )
 
 
+def _can_resume(route: catalog.Route, responder: downstream.Responder) -> bool:
+    """Return whether another endpoint can continue a response."""
+    is_stream = route.kind is catalog.Kind.STREAM
+    has_events = is_stream and responder.status in SUCCESS_STATUSES
+    return has_events and route.is_resumable
+
+
 def _compute_idle_timeout(
     route: catalog.Route, progress: _Progress, deadline: float
 ) -> float:
--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -58,6 +58,8 @@
             framed responses.
         crashing_part: Id of the prompt part under which the endpoint ends as
             soon as it has sent the head of its response.
+        raw: Bytes to send instead of a response, after which the connection
+            ends as `unframed_end` says; None for none.
     """
 
     events: int = 4
@@ -73,6 +75,7 @@
     limit_per_s: float | None = None
     unframed_end: UnframedEnd | None = None
     crashing_part: str = ""
+    raw: bytes | None = None
 
 
 class Run(msgspec.Struct):
@@ -163,6 +166,10 @@
         self.runs.append(run)
         if behavior.is_unresponsive:
             await anyio.sleep_forever()
+        if behavior.raw is not None:
+            await responder.send_raw(behavior.raw)
+            await self._end_connection(responder)
+            return
         headers = [(b"request-id", call)]
         if not behavior.is_unsigned:
             headers.append((b"response-signature", _sign(incoming.body)))
@@ -216,11 +223,14 @@
             await responder.send_raw(write_event(number))
         if behavior.unframed_end is UnframedEnd.CLOSE_WITHIN_EVENT:
             await responder.send_raw(b"id: %d\nda" % (last + 1))
-        if behavior.unframed_end is UnframedEnd.RESET:
+        await self._end_connection(responder)
+        run.is_ended = behavior.unframed_end is UnframedEnd.CLOSE
+
+    async def _end_connection(self, responder: downstream.Responder) -> None:
+        if self.behavior.unframed_end is UnframedEnd.RESET:
             # Lets the caller read what was sent.
             await anyio.sleep(RESET_DELAY_S)
             await responder.reset()
-        run.is_ended = behavior.unframed_end is UnframedEnd.CLOSE
         responder.is_closing = True
 
     async def _send_endless(
