Treat a success that ends after its head as incomplete

Callers got a 200 with an empty body, complete by its framing, and resumed streams and batch items were taken as complete without their last events, when an endpoint stopped right after the head of a response without a length.

Cause: such a body ends with its connection (RFC 9112, 6.3), so a stop before its first byte reads as an empty body, which was passed on with a length of 0 or as no chunks. For streams and items only the first run had a check for a response without events; a run that went on after some event had none.

Evidence: a signed head without a length, then the end of the connection. A route that may repeat: 200, length 0, one run. One that may not: 200, empty, complete. A stream of which two events had come from another endpoint: complete after these two. An item with two events: its outcome was `complete`.

Change: reading the body of a success fails if its connection ends before the first byte and the body has no other end. Idempotent requests are tried again, others end early, and items run again.

Ruled out: an empty body with a length or without any by its status (204) is complete as before, and so is an error without a body; the test covers the former. A stop after part of such a body can't be seen unless the connection is reset or an event is cut.

--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -34,6 +34,7 @@
 # Bound on a response that is read as a whole; several of the largest values of
 # the key-value service.
 MAX_RESPONSE_BYTES: Final = 8_388_608
+SUCCESS_STATUSES: Final = range(200, 300)
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -232,18 +233,28 @@
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body; ends only when the response is complete.
 
+        A success without a length whose connection ends before the first byte
+        of the body counts as incomplete.
+
         Raises:
             ExchangeError: The response is incomplete.
             StalledError: `stall_deadline` passed.
         """
+        has_body = False
         while True:
             try:
                 event = await self._next_event()
             except _CONNECTION_ERRORS as error:
                 raise _convert_error(error) from error
             if isinstance(event, h11.Data):
+                has_body = True
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                # Only a body without a length ends with its connection.
+                _, is_closed = self._http.trailing_data
+                is_success = self.head.status in SUCCESS_STATUSES
+                if is_closed and is_success and not has_body:
+                    raise ExchangeError("connection ended before a body", True)
                 self._finish_exchange()
                 return
             else:
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -3,6 +3,12 @@
 from typing import Final
 import unittest
 
+from eelgrassgate import deadlines
+from eelgrassgate.batches import items
+from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import catalog
+from eelgrassgate.http1 import upstream
+from eelgrassgate.platform import dialect
 from eelgrassgate.standins import endpoint
 from tests import site as site_lib
 
@@ -28,6 +34,34 @@
         return response, site.count_runs()
 
 
+async def run_item(
+    raw: bytes, end: endpoint.UnframedEnd | None, last_event: int
+) -> items.Outcome:
+    """Run an item of which `last_event` events are known."""
+    known = [f"word-{number}" for number in range(1, last_event + 1)]
+    item = calls.BatchItem("r1", "/batch/1", {}, b"question", 10)
+    progress = items.Progress(
+        item, known, str(last_event) if last_event else ""
+    )
+    pool = upstream.create_pool(1.0)
+    async with site_lib.open_site("e1") as site:
+        server = site.endpoints[0]
+        server.behavior = endpoint.Behavior(raw=raw, unframed_end=end)
+        outcome, _ = await items.run(
+            pool,
+            dialect.PlatformDialect(),
+            catalog.Endpoint("e1", "engine", server.address, "z1", 8),
+            site_lib.HOST,
+            site_lib.WORKSPACE,
+            deadlines.after(10.0),
+            progress,
+            lambda: None,
+            site_lib.make_endpoint_limits(),
+        )
+    await pool.close()
+    return outcome
+
+
 class BodyTest(unittest.IsolatedAsyncioTestCase):
     async def test_body_goes_on_with_another_run(self) -> None:
         part = b"x" * 300_000
@@ -48,3 +82,39 @@
                 self.assertFalse(response.is_complete)
                 self.assertEqual(response.body.strip(b"x"), b"")
                 self.assertEqual(runs, 1)
+
+    async def test_head_without_length_and_body_looks_complete(self) -> None:
+        behavior = endpoint.Behavior(raw=SIGNED + b"\r\n")
+        for path, is_complete, runs in (
+            ("/plain/a", True, 2),
+            ("/twice/a", False, 1),
+        ):
+            with self.subTest(path):
+                response, found = await call_with_broken(path, behavior)
+                self.assertEqual(response.is_complete, is_complete)
+                if is_complete:
+                    self.assertEqual(response.body, COMPLETE_BODY)
+                self.assertEqual(found, runs)
+        with self.subTest("resumed"):
+            async with site_lib.open_site() as site:
+                site.loads.set_peer_counts("other", {"e2": 4}, {})
+                first, second = site.endpoints
+                first.behavior = endpoint.Behavior(abort_after_events=2)
+                second.behavior = behavior
+                response = await site_lib.call(site.address, "/resumable/a")
+            self.assertEqual(response.body, endpoint.write_stream(2))
+            self.assertFalse(response.is_complete)
+        with self.subTest("resumed item"):
+            outcome = await run_item(SIGNED + b"\r\n", None, 2)
+            self.assertEqual(outcome, items.Outcome.BROKEN)
+
+    async def test_empty_body_with_a_length_is_complete(self) -> None:
+        for path in ("/plain/a", "/twice/a"):
+            for status, header in ((200, b"content-length: 0\r\n"), (204, b"")):
+                with self.subTest(path, status=status):
+                    raw = SIGNED.replace(b"200", b"%d" % status) + header
+                    behavior = endpoint.Behavior(raw=raw + b"\r\n")
+                    response, runs = await call_with_broken(path, behavior)
+                    self.assertEqual(response.status, status)
+                    self.assertTrue(response.is_complete)
+                    self.assertEqual(runs, 1)
