Pass on no length of a response that is sent in chunks

Callers of routes that may not repeat, and of large bodies on the others, could get a 200 with an empty or short body, complete by its framing.

Cause: a response may bear both `Transfer-Encoding: chunked` and a `Content-Length`; the chunks then are the body (RFC 9112, 6.3), and h11 reads them. The length was passed on to the caller, who stopped there.

Evidence: a body of 4 bytes in one chunk beside a length of 0: a complete response of 0 bytes. Beside a length of 99: the whole body in a response that looked cut.

Change: a response with a transfer coding is passed on in chunks.

Ruled out: short bodies of idempotent routes are measured before they are passed on. h11 rejects several lengths that differ and codings other than chunked.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -439,6 +439,9 @@
     ) -> None:
         head = connection.head
         length = head.get(b"content-length")
+        if head.get(b"transfer-encoding") is not None:
+            # The chunks are the body, whatever the length says.
+            length = None
         await responder.begin(
             head.status,
             self._dialect.filter_response_headers(head),
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -118,3 +118,13 @@
                     self.assertEqual(response.status, status)
                     self.assertTrue(response.is_complete)
                     self.assertEqual(runs, 1)
+
+    async def test_length_cuts_a_chunked_body(self) -> None:
+        chunked = b"transfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"
+        for length in (0, 2, 99):
+            with self.subTest(length=length):
+                raw = SIGNED + b"content-length: %d\r\n" % length + chunked
+                behavior = endpoint.Behavior(raw=raw)
+                response, _ = await call_with_broken("/twice/a", behavior)
+                self.assertEqual(response.body, b"fine")
+                self.assertTrue(response.is_complete)
