Reset a cut response to an HTTP/1.0 client

Callers that speak HTTP/1.0 got the first part of a response that had broken off, and nothing showed that it was only a part.

Cause: there are no chunks in HTTP/1.0, so the body of a response without a known length ends with its connection, and a response that broke off was ended by the same orderly close as a whole one.

Evidence: a stream of which an endpoint sent two events of four: the caller read both events and then the end of the stream.

Change: the connection is reset if a response to such a client is cut. Others are closed as before, since their framing shows the cut and a reset could take away data that they have not read yet.

Ruled out: responses with a length, and whole ones, end as before; the test covers a whole one. A process that is killed still ends its connections in order.

tests.test_broken_responses: the case of a cut stream failed before, not after.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -235,7 +235,17 @@
             logs.log_exception("connection failed")
         finally:
             self.is_idle = False
-            await sockets.abort(self._stream)
+            is_cut = self._is_cut_without_framing()
+            close = sockets.reset if is_cut else sockets.abort
+            await close(self._stream)
+
+    def _is_cut_without_framing(self) -> bool:
+        """Return whether an orderly close would make a response look whole.
+
+        A body that is sent to an HTTP/1.0 client ends with its connection.
+        """
+        is_cut = self._http.our_state in {h11.SEND_BODY, h11.ERROR}
+        return is_cut and self._http.their_http_version == b"1.0"
 
     async def _reply_error(self, status: int) -> None:
         """Respond with an error to a request that can't be read."""
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -3,6 +3,8 @@
 from typing import Final
 import unittest
 
+import anyio
+
 from eelgrassgate import deadlines
 from eelgrassgate.batches import items
 from eelgrassgate.gateway import calls
@@ -128,3 +130,24 @@
                 response, _ = await call_with_broken("/twice/a", behavior)
                 self.assertEqual(response.body, b"fine")
                 self.assertTrue(response.is_complete)
+
+    async def test_cut_body_looks_complete_to_http_1_0(self) -> None:
+        request = (
+            b"POST /stream/a HTTP/1.0\r\nhost: desk.example\r\n"
+            b"authorization: Bearer key-1\r\ncontent-length: 0\r\n\r\n"
+        )
+        for events, error in (
+            (2, anyio.BrokenResourceError),
+            (4, anyio.EndOfStream),
+        ):
+            with self.subTest(events=events):
+                async with site_lib.open_site("e1") as site:
+                    site.endpoints[0].behavior.abort_after_events = events
+                    port = int(site.address.rpartition(":")[2])
+                    caller = await anyio.connect_tcp("127.0.0.1", port)
+                    await caller.send(request)
+                    with anyio.fail_after(site_lib.TEST_TIMEOUT_S):
+                        with self.assertRaises(error):
+                            while True:
+                                await caller.receive()
+                    await caller.aclose()
