Fail an engine's success that has no body

Callers of completions that don't stream could get a 200 with an empty body from the product's own interface.

Cause: the adapter takes a plain body as whole when its framing says so. A response without a length ends with its connection, so an engine that stopped right after the head had sent a whole, empty body.

Evidence: a head without a length, then the end of the connection: the adapter's parts ended with `End`, except for an event stream, which needs its last event.

Change: a success whose plain body has no byte fails as a lost connection does: the call may have run. An engine that succeeds always sends a body.

Ruled out: plain services may answer with an empty body, and simple servers do so without a length, so their adapter is as it was. Errors without a body are passed on.

tests.test_broken_responses: 3 of 4 cases of the new test failed before, none after.

--- a/eelgrassgate/engine/http.py
+++ b/eelgrassgate/engine/http.py
@@ -143,7 +143,7 @@
         if call.is_stream and content_type.startswith(EVENT_STREAM):
             parts = _read_events(response, call.deadline)
         else:
-            parts = connections.read_body(response, call.deadline)
+            parts = _read_body(response, call.deadline)
         async with contextlib.aclosing(parts):
             async for part in parts:
                 yield part
@@ -164,10 +164,26 @@
     if is_complete:
         yield base.End()
         return
-    refusal = outcomes.refuse_unknown(
-        outcomes.Code.ENDPOINT_LOST, "The engine's stream ended early."
-    )
-    yield base.Failed(refusal, True)
+    yield _fail_cut("The engine's stream ended early.")
+
+
+async def _read_body(
+    response: httpx.Response, deadline: float
+) -> AsyncGenerator[base.Part, None]:
+    """Yield a plain body; an engine that succeeds always sends one."""
+    has_body = False
+    parts = connections.read_body(response, deadline)
+    async with contextlib.aclosing(parts):
+        async for part in parts:
+            has_body = has_body or isinstance(part, base.Data)
+            if response.is_success and not has_body:
+                part = _fail_cut("The engine's response ended before its body.")
+            yield part
+
+
+def _fail_cut(message: str) -> base.Failed:
+    refusal = outcomes.refuse_unknown(outcomes.Code.ENDPOINT_LOST, message)
+    return base.Failed(refusal, True)
 
 
 async def _check_status(
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -7,6 +7,8 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate.batches import items
+from eelgrassgate.engine import base as engine_base
+from eelgrassgate.engine import http as engine_http
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.http1 import upstream
@@ -151,3 +153,30 @@
                             while True:
                                 await caller.receive()
                     await caller.aclose()
+
+
+async def call_engine(raw: bytes, *, is_stream: bool) -> engine_base.Part:
+    """Return the last part of an engine's response."""
+    async with site_lib.open_site("e1") as site:
+        server = site.endpoints[0]
+        server.behavior = endpoint.Behavior(raw=raw)
+        engine = engine_http.create_engine(f"http://{server.address}")
+        call = engine_base.Call(
+            "a", "POST", "/v1", b"{}", "", is_stream, deadlines.after(10.0)
+        )
+        parts = [part async for part in engine.call(call)]
+        await engine.close()
+    return parts[-1]
+
+
+class EngineTest(unittest.IsolatedAsyncioTestCase):
+    async def test_head_without_length_and_body_looks_complete(self) -> None:
+        for name, head in (
+            ("a body", b""),
+            ("events", b"content-type: text/event-stream\r\n"),
+        ):
+            for is_stream in (False, True):
+                with self.subTest(name, is_stream=is_stream):
+                    raw = b"HTTP/1.1 200 OK\r\n" + head + b"\r\n"
+                    part = await call_engine(raw, is_stream=is_stream)
+                    self.assertIsInstance(part, engine_base.Failed)
