Cut responses of endpoints at their bytes in a table of tests

The table: responses with a length, in chunks with a trailer, without a length, of HTTP/1.0, with bare line feeds, after an interim and after a late response, cut in steps of 13 bytes, ended by a close or a reset, on new and kept connections, for routes that may repeat and may not, streams, resumable streams, batch items and the adapter of engines. No caller may get a complete 200 that isn't whole; what may not repeat runs once and gets no 503 or 429.

Why not inside the head: h11 gives no head before its blank line, so a cut can't leave out a length and make the rest a body that ends with its connection.

The engine adapter's earlier test is now a part of its table, with the same cases.

--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -16,30 +16,60 @@
 from eelgrassgate.standins import endpoint
 from tests import site as site_lib
 
+End = endpoint.UnframedEnd
 COMPLETE_BODY: Final = endpoint.write_stream(4)
 SIGNED: Final = (
     b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: 1\r\n"
 )
+LATE: Final = (
+    b"HTTP/1.1 200 OK\r\nrequest-id: r0\r\ncontent-length: 4\r\n\r\nlate"
+)
+# Responses of which neither the whole nor any beginning is complete.
+CUT_BY_NAME: Final = {
+    "length": SIGNED + b"content-length: 81\r\n\r\n" + COMPLETE_BODY,
+    "chunks": SIGNED
+    + b"transfer-encoding: chunked\r\n\r\n50\r\n"
+    + COMPLETE_BODY
+    + b"\r\n0\r\nx: y\r\n\r",
+    "no length": SIGNED + b"\r\n",
+    "HTTP/1.0": SIGNED.replace(b"1.1", b"1.0") + b"\r\n",
+    "bare line feeds": SIGNED.replace(b"\r", b"") + b"\n",
+    "interim": b"HTTP/1.1 103 Early\r\nx: y\r\n\r\n" + SIGNED + b"\r\n",
+    "late": LATE + SIGNED + b"\r\n",
+}
+# Distance of the cuts that are tried; 1 tries each byte.
+CUT_STEP: Final = 13
+CUTS: Final = [
+    (name, raw[:cut])
+    for name, raw in CUT_BY_NAME.items()
+    for cut in range(len(raw), -1, -CUT_STEP)
+]
+PATHS: Final = ("/plain/a", "/twice/a", "/stream/a", "/resumable/a")
 
 
 async def call_with_broken(
-    path: str, behavior: endpoint.Behavior
+    path: str, behavior: endpoint.Behavior, *, is_kept: bool = False
 ) -> tuple[site_lib.Response, int]:
-    """Call with a fault at the first endpoint that is chosen.
+    """Call with a fault at the first endpoint; return the number of runs too.
 
-    Returns:
-        The response and the number of runs.
+    With `is_kept` the connection to the endpoint has been used before.
     """
     async with site_lib.open_site() as site:
         first, second = site.endpoints
         site.loads.set_peer_counts("other", {second.name: 4}, {})
+        if is_kept:
+            await site_lib.call(site.address, path)
+            first.runs.clear()
         first.behavior = behavior
         response = await site_lib.call(site.address, path)
         return response, site.count_runs()
 
 
 async def run_item(
-    raw: bytes, end: endpoint.UnframedEnd | None, last_event: int
+    site: site_lib.Site,
+    raw: bytes,
+    end: endpoint.UnframedEnd | None,
+    last_event: int,
 ) -> items.Outcome:
     """Run an item of which `last_event` events are known."""
     known = [f"word-{number}" for number in range(1, last_event + 1)]
@@ -48,24 +78,51 @@
         item, known, str(last_event) if last_event else ""
     )
     pool = upstream.create_pool(1.0)
-    async with site_lib.open_site("e1") as site:
-        server = site.endpoints[0]
-        server.behavior = endpoint.Behavior(raw=raw, unframed_end=end)
-        outcome, _ = await items.run(
-            pool,
-            dialect.PlatformDialect(),
-            catalog.Endpoint("e1", "engine", server.address, "z1", 8),
-            site_lib.HOST,
-            site_lib.WORKSPACE,
-            deadlines.after(10.0),
-            progress,
-            lambda: None,
-            site_lib.make_endpoint_limits(),
-        )
+    server = site.endpoints[0]
+    server.behavior = endpoint.Behavior(raw=raw, unframed_end=end)
+    outcome, _ = await items.run(
+        pool,
+        dialect.PlatformDialect(),
+        catalog.Endpoint("e1", "engine", server.address, "z1", 8),
+        site_lib.HOST,
+        site_lib.WORKSPACE,
+        deadlines.after(10.0),
+        progress,
+        lambda: None,
+        site_lib.make_endpoint_limits(),
+    )
     await pool.close()
     return outcome
 
 
+class CutTest(unittest.IsolatedAsyncioTestCase):
+    async def test_cut_response_looks_complete(self) -> None:
+        for index, (name, raw) in enumerate(CUTS):
+            path = PATHS[index % 4]
+            is_retried = path in {"/plain/a", "/resumable/a"}
+            end = End.CLOSE if index % 5 else End.RESET
+            is_kept = index % 3 == 0
+            with self.subTest(name, raw=raw, path=path, kept=is_kept, end=end):
+                behavior = endpoint.Behavior(raw=raw, unframed_end=end)
+                response, runs = await call_with_broken(
+                    path, behavior, is_kept=is_kept
+                )
+                is_whole = response.is_complete and response.status == 200
+                self.assertEqual(is_whole, is_retried)
+                self.assertIn(response.status, {200, 502})
+                self.assertEqual(runs, 1 + is_retried)
+                if is_whole:
+                    self.assertEqual(response.body, COMPLETE_BODY)
+
+    async def test_cut_response_completes_an_item(self) -> None:
+        async with site_lib.open_site("e1") as site:
+            for index, (name, raw) in enumerate(CUTS):
+                end = End.CLOSE if index % 5 else End.RESET
+                with self.subTest(name, raw=raw, end=end):
+                    outcome = await run_item(site, raw, end, 0)
+                    self.assertEqual(outcome, items.Outcome.BROKEN)
+
+
 class BodyTest(unittest.IsolatedAsyncioTestCase):
     async def test_body_goes_on_with_another_run(self) -> None:
         part = b"x" * 300_000
@@ -109,7 +166,8 @@
             self.assertEqual(response.body, endpoint.write_stream(2))
             self.assertFalse(response.is_complete)
         with self.subTest("resumed item"):
-            outcome = await run_item(SIGNED + b"\r\n", None, 2)
+            async with site_lib.open_site("e1") as site:
+                outcome = await run_item(site, SIGNED + b"\r\n", None, 2)
             self.assertEqual(outcome, items.Outcome.BROKEN)
 
     async def test_empty_body_with_a_length_is_complete(self) -> None:
@@ -155,28 +213,29 @@
                     await caller.aclose()
 
 
-async def call_engine(raw: bytes, *, is_stream: bool) -> engine_base.Part:
+async def call_engine(
+    site: site_lib.Site, raw: bytes, *, is_stream: bool
+) -> engine_base.Part:
     """Return the last part of an engine's response."""
-    async with site_lib.open_site("e1") as site:
-        server = site.endpoints[0]
-        server.behavior = endpoint.Behavior(raw=raw)
-        engine = engine_http.create_engine(f"http://{server.address}")
-        call = engine_base.Call(
-            "a", "POST", "/v1", b"{}", "", is_stream, deadlines.after(10.0)
-        )
-        parts = [part async for part in engine.call(call)]
-        await engine.close()
+    server = site.endpoints[0]
+    server.behavior = endpoint.Behavior(raw=raw)
+    engine = engine_http.create_engine(f"http://{server.address}")
+    call = engine_base.Call(
+        "a", "POST", "/v1", b"{}", "", is_stream, deadlines.after(10.0)
+    )
+    parts = [part async for part in engine.call(call)]
+    await engine.close()
     return parts[-1]
 
 
 class EngineTest(unittest.IsolatedAsyncioTestCase):
-    async def test_head_without_length_and_body_looks_complete(self) -> None:
-        for name, head in (
-            ("a body", b""),
-            ("events", b"content-type: text/event-stream\r\n"),
-        ):
-            for is_stream in (False, True):
-                with self.subTest(name, is_stream=is_stream):
-                    raw = b"HTTP/1.1 200 OK\r\n" + head + b"\r\n"
-                    part = await call_engine(raw, is_stream=is_stream)
-                    self.assertIsInstance(part, engine_base.Failed)
+    async def test_cut_response_looks_complete(self) -> None:
+        events = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+        # Engines don't name the call that they respond to.
+        cuts = [one for one in CUTS if one[0] != "late"]
+        async with site_lib.open_site("e1") as site:
+            for name, raw in [*cuts, ("events", events)]:
+                for is_stream in (False, True):
+                    with self.subTest(name, raw=raw, is_stream=is_stream):
+                        part = await call_engine(site, raw, is_stream=is_stream)
+                        self.assertIsInstance(part, engine_base.Failed)
