Treat values that are nested too deeply as invalid

What operators saw: one entry among those of the endpoints ended every process that reads the list, again after each restart, or kept it from following it.

Cause: msgspec raises RecursionError, which is no MsgspecError, for a value that nests deeper than the interpreter's limit, even in a member that nobody reads. The decoders caught MsgspecError only. They are called by listeners of the task groups that follow the store and receive reports, so the exception ended the process.

Evidence: with an unknown member of 200,000 nested arrays or 100,000 nested objects, or a datagram with 60,000 nested arrays, all 15 cases of tests/test_odd_records.py raised RecursionError before the change: entries of endpoints, retirements, the configuration, members, quarantined parts, stored jobs, heads, items and results, reports, and the items that a caller submits.

Change: decoding.decode is the one place that decodes bytes of others; it raises msgspec.DecodeError for such values, which all callers handle. The key-value client uses it for responses too.

Ruled out, by trying them: invalid UTF-8, lone surrogates, numbers out of the range of a float, lengths that exceed the data. msgspec reports all of them as MsgspecError.

--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from eelgrassgate import decoding
 from eelgrassgate.gateway import calls
 
 OPEN: Final = "eelgrassgate/open/"
@@ -92,6 +93,8 @@
 
 _ITEMS_DECODER: Final = msgspec.msgpack.Decoder(list[calls.BatchItem])
 _RESULTS_DECODER: Final = msgspec.msgpack.Decoder(list[Result])
+_HEAD_DECODER: Final = msgspec.json.Decoder(Head)
+_JOB_DECODER: Final = msgspec.json.Decoder(Job)
 
 
 def quote(job: str) -> str:
@@ -134,7 +137,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return _ITEMS_DECODER.decode(value)
+    return decoding.decode(_ITEMS_DECODER, value)
 
 
 def decode_results(value: bytes) -> list[Result]:
@@ -143,7 +146,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return _RESULTS_DECODER.decode(value)
+    return decoding.decode(_RESULTS_DECODER, value)
 
 
 def decode_head(value: bytes) -> Head:
@@ -152,7 +155,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return msgspec.json.decode(value, type=Head)
+    return decoding.decode(_HEAD_DECODER, value)
 
 
 def decode_job(value: bytes) -> Job:
@@ -161,4 +164,4 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return msgspec.json.decode(value, type=Job)
+    return decoding.decode(_JOB_DECODER, value)
--- a/eelgrassgate/peering/registry.py
+++ b/eelgrassgate/peering/registry.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
@@ -67,6 +68,9 @@
     incarnation: int
 
 
+_MEMBER_DECODER: Final = msgspec.json.Decoder(Member)
+
+
 class Registration:
     """Keeps this process's lease and its entry alive.
 
@@ -156,7 +160,7 @@
                 self._expired_names.add(name)
                 continue
             try:
-                member = msgspec.json.decode(change.value, type=Member)
+                member = decoding.decode(_MEMBER_DECODER, change.value)
             except msgspec.MsgspecError as error:
                 logs.log_message("member:invalid", name=name, reason=str(error))
                 continue
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.peering import datagrams
 from eelgrassgate.peering import failures as failures_lib
@@ -231,7 +232,7 @@
 
     def _handle_datagram(self, data: bytes, sender: str) -> None:
         try:
-            report = _DECODER.decode(data)
+            report = decoding.decode(_DECODER, data)
         except msgspec.MsgspecError as error:
             logs.log_message("reports:invalid", reason=str(error))
             return
--- a/eelgrassgate/platform/batch_calls.py
+++ b/eelgrassgate/platform/batch_calls.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.batches import owner_api
 from eelgrassgate.gateway import batch_calls
@@ -32,6 +33,9 @@
     items: list[_Item]
 
 
+_DECODER: Final = msgspec.json.Decoder(_Submission)
+
+
 class PlatformBatchDialect:
     """An implementation of `batch_calls.BatchDialect`."""
 
@@ -55,7 +59,7 @@
     def read_items(self, body: bytes) -> tuple[calls.BatchItem, ...] | None:
         """Decode the items of a job; return None if they are invalid."""
         try:
-            found = msgspec.json.decode(body, type=_Submission).items
+            found = decoding.decode(_DECODER, body).items
             if len(found) > MAX_ITEMS:
                 return None
             return tuple(
--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery
@@ -97,10 +98,21 @@
     version: str
 
 
+class _Retirement(msgspec.Struct, frozen=True, rename="kebab"):
+    """A request to drain an instance within `duration_s`."""
+
+    duration_s: float
+
+
+_CONFIG_DECODER: Final = msgspec.json.Decoder(_Config)
+_ENTRY_DECODER: Final = msgspec.json.Decoder(_Entry)
+_RETIREMENT_DECODER: Final = msgspec.json.Decoder(_Retirement)
+
+
 def decode_config(value: bytes) -> catalog.Catalog | None:
     """Decode the configuration; log and return None if it is invalid."""
     try:
-        config = msgspec.json.decode(value, type=_Config)
+        config = decoding.decode(_CONFIG_DECODER, value)
     except msgspec.MsgspecError as error:
         logs.log_message("config:invalid", reason=str(error))
         return None
@@ -164,7 +176,7 @@
     Invalid entries from other writers are expected and are not logged.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        entry = decoding.decode(_ENTRY_DECODER, value)
     except msgspec.MsgspecError:
         return None
     if entry.state not in {"ready", "draining"} or entry.slots < 1:
@@ -180,12 +192,6 @@
     )
 
 
-class _Retirement(msgspec.Struct, frozen=True, rename="kebab"):
-    """A request to drain an instance within `duration_s`."""
-
-    duration_s: float
-
-
 def decode_retirement(key: str, value: bytes) -> discovery.Retirement | None:
     """Decode a request to drain an instance.
 
@@ -194,7 +200,7 @@
     if not key.startswith(RETIREMENT_PREFIX):
         return None
     try:
-        retirement = msgspec.json.decode(value, type=_Retirement)
+        retirement = decoding.decode(_RETIREMENT_DECODER, value)
     except msgspec.MsgspecError as error:
         logs.log_message("retirement:invalid", key=key, reason=str(error))
         return None
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -16,6 +16,7 @@
 from returns import result
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import hedging
 from eelgrassgate import logs
 from eelgrassgate.http1 import upstream
@@ -615,7 +616,7 @@
 
 def _decode(body: bytes, kind: type[_T]) -> _T:
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decoding.decode(msgspec.json.Decoder(kind), body)
     except msgspec.MsgspecError as error:
         raise _create_error(True, f"invalid response: {error}") from error
 
--- a/eelgrassgate/quarantine/storage.py
+++ b/eelgrassgate/quarantine/storage.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.store import base
@@ -28,6 +29,9 @@
     until: float
 
 
+_DECODER: Final = msgspec.json.Decoder(Entry)
+
+
 class Storage:
     """Reads and writes the quarantined parts."""
 
@@ -67,7 +71,7 @@
             return False
         for record in page.unwrap().records:
             try:
-                entry = msgspec.json.decode(record.value, type=Entry)
+                entry = decoding.decode(_DECODER, record.value)
             except msgspec.MsgspecError as error:
                 logs.log_message("quarantine:invalid", reason=str(error))
                 continue
--- /dev/null
+++ b/tests/test_odd_records.py
@@ -0,0 +1,150 @@
+"""Entries and messages of other writers, which may hold anything."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+import unittest
+
+import anyio
+import msgspec
+
+from eelgrassgate.batches import records
+from eelgrassgate.gateway import discovery as discovery_lib
+from eelgrassgate.peering import registry
+from eelgrassgate.peering import reports
+from eelgrassgate.platform import batch_calls as platform_batch_calls
+from eelgrassgate.platform import documents
+from eelgrassgate.quarantine import quarantine as quarantine_lib
+from eelgrassgate.quarantine import storage
+from eelgrassgate.store import base
+from eelgrassgate.store import memory
+from eelgrassgate.store import mirror
+from tests import test_peering
+from tests import test_platform
+
+TIMEOUT_S: Final = 6.0
+DEEP_ARRAY: Final = b"[" * 200_000 + b"]" * 200_000
+DEEP_OBJECT: Final = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
+DEEP_MSGPACK: Final = b"\x91" * 60_000 + b"\x01"
+
+
+def add_member(document: Any, value: bytes) -> bytes:
+    """Return a JSON object with an unknown member."""
+    return msgspec.json.encode(document)[:-1] + b',"unknown":' + value + b"}"
+
+
+async def write(store: base.Store, key: str, value: bytes) -> None:
+    await store.commit(base.Transaction((), (base.Write(key, value),)))
+
+
+class DeepNestingTest(unittest.IsolatedAsyncioTestCase):
+    def test_deep_values_are_invalid(self) -> None:
+        dialect = platform_batch_calls.PlatformBatchDialect()
+        item = {"id": "i", "path": "/a/1"}
+        for nested in (DEEP_ARRAY, DEEP_OBJECT):
+            for name, decode, document in (
+                (
+                    "endpoint",
+                    lambda value: documents.decode_endpoint("servers/e", value),
+                    test_platform.ENTRY,
+                ),
+                (
+                    "retirement",
+                    lambda value: documents.decode_retirement(
+                        "op/retire/a", value
+                    ),
+                    {"duration-s": 9},
+                ),
+                (
+                    "configuration",
+                    documents.decode_config,
+                    test_platform.CONFIG,
+                ),
+                ("items of a job", dialect.read_items, {"items": [item]}),
+            ):
+                with self.subTest(name, nested=nested[:2]):
+                    self.assertIsNone(decode(add_member(document, nested)))
+
+    def test_deep_stored_values_are_invalid(self) -> None:
+        deep_json = add_member({}, DEEP_ARRAY).replace(b"{,", b"{")
+        cases: tuple[tuple[Callable[[bytes], Any], bytes], ...] = (
+            (records.decode_job, deep_json),
+            (records.decode_head, deep_json),
+            (records.decode_items, b"\x91\x81\xa1x" + DEEP_MSGPACK),
+            (records.decode_results, b"\x91\x94\xa1i\xa1s\xa1t" + DEEP_MSGPACK),
+        )
+        for decode, value in cases:
+            with (
+                self.subTest(decode.__name__),
+                self.assertRaises(msgspec.MsgspecError),
+            ):
+                decode(value)
+
+    def test_deep_report_is_ignored(self) -> None:
+        exchange, _ = test_peering.make_reports(
+            "a", test_peering.make_member("a")
+        )
+        report = msgspec.msgpack.encode(test_peering.make_report("b"))
+        count = len(msgspec.structs.fields(reports.Report))
+        # The first byte of a short array holds its length.
+        longer = bytes([report[0] + 1]) + report[1:] + DEEP_MSGPACK
+        self.assertEqual(report[0], 0x90 + count)
+        exchange._handle_datagram(longer, "127.0.0.1:1")
+        self.assertFalse(exchange.is_alive("b"))
+
+    async def test_members_and_quarantine_are_read_on(self) -> None:
+        store = memory.create_memory_store()
+        members = mirror.create_mirror(store, registry.MEMBERS_PREFIX)
+        directory = registry.create_directory(members)
+        kept = quarantine_lib.create_quarantine()
+        member = test_peering.make_member("b")
+        part = storage.Entry("p", 1e12)
+        for prefix, sound in (
+            (registry.MEMBERS_PREFIX, member),
+            (storage.PREFIX, part),
+        ):
+            odd = add_member(sound, DEEP_OBJECT)
+            await write(store, f"{prefix}a", odd)
+            await write(store, f"{prefix}b", msgspec.json.encode(sound))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(members.run)
+            tasks.start_soon(storage.create_storage(store, kept).run)
+            with anyio.fail_after(TIMEOUT_S):
+                while not (directory.members_by_name and kept.until_by_part):
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(list(directory.members_by_name), ["b"])
+
+
+class EndpointEntryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_endpoints_are_followed_after_odd_entries(self) -> None:
+        store = memory.create_memory_store(progress_interval_s=0.02)
+        discovery = discovery_lib.create_discovery(
+            store, documents.PlatformDocuments()
+        )
+        odd_values = (
+            b"",
+            b"\xff\x00",
+            b"null",
+            add_member(test_platform.ENTRY, DEEP_ARRAY),
+            add_member(test_platform.ENTRY, DEEP_OBJECT),
+        )
+        await write(store, "op/retire/a", add_member({"a": 1}, DEEP_ARRAY))
+        await write(store, "op/config", add_member({"a": 1}, DEEP_ARRAY))
+        async with anyio.create_task_group() as tasks:
+            discovery.subscribe_to_retirements(lambda _: None)
+            tasks.start_soon(discovery.run)
+            for number, value in enumerate(odd_values):
+                await write(store, f"servers/odd-{number}", value)
+            await write(
+                store, "servers/sound", msgspec.json.encode(test_platform.ENTRY)
+            )
+            with anyio.fail_after(TIMEOUT_S):
+                while not discovery.endpoints_by_id:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(list(discovery.endpoints_by_id), ["sound"])
+
+
+if __name__ == "__main__":
+    unittest.main()
