Connect to no invalid address; tell that nothing was sent

What callers saw: while an entry of an endpoint held an address such as 10.0.0.1:99999, requests that were placed there got no answer; the connection closed. The endpoint looked idle ever after, so further requests went there.

Cause: sockets.connect parsed the address with int() and passed any port on. It raised ValueError, UnicodeError or a group with OverflowError, which are no OSError. The pool turns OSError alone into "nothing was sent", so neither retries nor the placement learned of the failure.

Evidence: tests/test_odd_records.py uses 21 odd addresses, once with the pool and once with a gateway that has a sound endpoint beside the odd one.

Change: addresses.parse is the one place that tells what an address is: a name of valid labels or an IP address, and a port from 1 to 65,535. connect raises OSError for anything else, which its callers (the pool and the check whether an endpoint refuses connections) handle as unreachable: the request goes on to the sound endpoint, and the odd one is in backoff.

Ruled out: IPv4 addresses out of range and names without an address end in socket.gaierror, which is an OSError.

--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -1,5 +1,6 @@
 """TCP connections with options that detect unresponsive peers."""
 
+import errno
 import select
 import socket
 import struct
@@ -9,6 +10,8 @@
 import anyio
 from anyio import abc
 
+from eelgrassgate import addresses
+
 # An unresponsive peer is detected after idle + count * interval = 3 s, less
 # than the 4 s after which the platform considers an instance reachable again.
 KEEPALIVE_IDLE_S: Final = 1
@@ -42,11 +45,15 @@
     """Connect to `host:port`.
 
     Raises:
-        OSError: The connection was refused or timed out.
+        OSError: The connection was refused or timed out, or there is no such
+            address.
     """
-    host, _, port = address.rpartition(":")
+    try:
+        target = addresses.parse(address)
+    except addresses.InvalidAddressError as error:
+        raise OSError(errno.EINVAL, str(error)) from error
     with anyio.move_on_after(timeout_s):
-        stream = await anyio.connect_tcp(host, int(port))
+        stream = await anyio.connect_tcp(target.host, target.port)
         set_options(stream)
         return stream
     raise TimeoutError(f"connecting to {address} timed out after {timeout_s} s")
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -8,8 +8,12 @@
 import anyio
 import msgspec
 
+from eelgrassgate import addresses
 from eelgrassgate.batches import records
+from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
+from eelgrassgate.http1 import sockets
+from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import reports
 from eelgrassgate.platform import batch_calls as platform_batch_calls
@@ -19,6 +23,7 @@
 from eelgrassgate.store import base
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
+from tests import site as site_lib
 from tests import test_peering
 from tests import test_platform
 
@@ -37,6 +42,74 @@
     await store.commit(base.Transaction((), (base.Write(key, value),)))
 
 
+ODD_ADDRESSES: Final = (
+    "",
+    ":",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1:99999",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:x",
+    "127.0.0.1:\u0661",
+    "127.0.0.1:80 ",
+    "127.0.0.1:80\n",
+    "127.0.0\x00.1:80",
+    ":80",
+    "a..b:80",
+    "a" * 64 + ".example:80",
+    "a." * 2000 + "b:80",
+    "\u2603.example:80",
+    "[127.0.0.1]:80",
+    "fe80::1%a\x00b:80",
+    "::1::1:80",
+)
+
+
+class AddressTest(unittest.IsolatedAsyncioTestCase):
+    def test_usual_addresses(self) -> None:
+        for text, host, port in (
+            ("10.0.0.1:80", "10.0.0.1", 80),
+            ("localhost:65535", "localhost", 65_535),
+            ("a-1.b_2.example:1", "a-1.b_2.example", 1),
+            ("::1:80", "::1", 80),
+        ):
+            address = addresses.Address(host, port)
+            self.assertEqual(addresses.parse(text), address)
+
+    async def test_nothing_is_sent_to_odd_addresses(self) -> None:
+        pool = upstream.create_pool(0.2)
+        for text in ODD_ADDRESSES:
+            with self.subTest(text[:40]):
+                with self.assertRaises(upstream.ExchangeError) as caught:
+                    async with pool.use(text):
+                        self.fail("connected")
+                self.assertFalse(caught.exception.was_sent)
+                self.assertFalse(await sockets.is_refused(text, 0.2))
+
+    async def test_sound_endpoint_answers_beside_an_odd_address(self) -> None:
+        for text in ODD_ADDRESSES:
+            with self.subTest(text[:40]):
+                async with site_lib.open_site() as site:
+                    odd, sound = site.endpoints
+                    site.loads.set_peer_counts("other", {sound.name: 4}, {})
+                    site.placement.set_endpoints(
+                        {
+                            one.name: catalog.Endpoint(
+                                one.name, "engine", address, "z1", 8
+                            )
+                            for one, address in (
+                                (odd, text),
+                                (sound, sound.address),
+                            )
+                        }
+                    )
+                    response = await site_lib.call(site.address, "/once/a")
+                    self.assertEqual(response.status, 200)
+                    self.assertTrue(site.placement.is_in_backoff(odd.name))
+
+
 class DeepNestingTest(unittest.IsolatedAsyncioTestCase):
     def test_deep_values_are_invalid(self) -> None:
         dialect = platform_batch_calls.PlatformBatchDialect()
