Use no endpoint whose address, slots or id are out of bounds

What callers saw: an entry with an address such as 10.0.0.1:99999 or with 2^80 slots counted as an idle endpoint, so requests were placed there first.

Cause: decode_endpoint checked types only. Numbers were of any size, the address any text, and the id, which is sent in a header, any part of a key.

Ruled out: an unknown zone counts as another region and is used last; an unknown service has no route, so no request goes there.

--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -1,10 +1,13 @@
 """Decoding of the operators' configuration and requests, and of endpoints."""
 
+import re
+from typing import Annotated
 from typing import Any
 from typing import Final
 
 import msgspec
 
+from eelgrassgate import addresses
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
@@ -20,6 +23,13 @@
 
 MS_PER_S: Final = 1000.0
 
+MAX_SLOTS: Final = 1_000_000
+MAX_INT64: Final = 2**63 - 1
+# The id of an endpoint is sent in a header. Keys have at most 200 bytes.
+_ENDPOINT_ID: Final = re.compile(r"[^\x00-\x20\x7f]{1,200}")
+_STATES: Final = frozenset({"ready", "draining"})
+_Int64 = Annotated[int, msgspec.Meta(ge=-MAX_INT64, le=MAX_INT64)]
+
 _KINDS: Final = {
     "safe": catalog.Kind.IDEMPOTENT,
     "unsafe": catalog.Kind.NON_IDEMPOTENT,
@@ -90,10 +100,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    born: int
-    sequence: int
+    born: _Int64
+    sequence: _Int64
     cold_remaining_ms: float
     version: str
 
@@ -171,18 +181,20 @@
 
 
 def decode_endpoint(key: str, value: bytes) -> catalog.Endpoint | None:
-    """Decode an endpoint's entry; return None if it is not usable.
-
-    Invalid entries from other writers are expected and are not logged.
-    """
+    """Decode an endpoint's entry; return None if it is not usable."""
+    endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
     try:
         entry = decoding.decode(_ENTRY_DECODER, value)
     except msgspec.MsgspecError:
         return None
-    if entry.state not in {"ready", "draining"} or entry.slots < 1:
+    if (
+        entry.state not in _STATES
+        or not _ENDPOINT_ID.fullmatch(endpoint_id)
+        or not addresses.is_valid(entry.address)
+    ):
         return None
     return catalog.Endpoint(
-        key.removeprefix(ENDPOINT_PREFIX),
+        endpoint_id,
         entry.service,
         entry.address,
         entry.zone,
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,6 +1,7 @@
 """Entries and messages of other writers, which may hold anything."""
 
 from collections.abc import Callable
+import json
 from typing import Any
 from typing import Final
 import unittest
@@ -190,6 +191,27 @@
 
 
 class EndpointEntryTest(unittest.IsolatedAsyncioTestCase):
+    def test_odd_entries_name_no_endpoint(self) -> None:
+        for field, values in (
+            ("address", (*ODD_ADDRESSES, None, 80)),
+            ("slots", (0, -1, 2**20, 2**63, 2**80, 10**400, 1.5, True)),
+            ("born", (2**63, -(2**80), 1e3)),
+            ("sequence", (2**80, "1")),
+            ("state", ("", "gone", None)),
+        ):
+            for value in values:
+                with self.subTest(field, value=str(value)[:40]):
+                    odd = json.dumps({**test_platform.ENTRY, field: value})
+                    found = documents.decode_endpoint("servers/e", odd.encode())
+                    self.assertIsNone(found)
+
+    def test_ids_that_no_header_holds_name_no_endpoint(self) -> None:
+        sound = msgspec.json.encode(test_platform.ENTRY)
+        for name in ("", " ", " e", "e\r\nx: y", "e\x00", "e\x7f", "e" * 201):
+            with self.subTest(name[:40]):
+                found = documents.decode_endpoint(f"servers/{name}", sound)
+                self.assertIsNone(found)
+
     async def test_endpoints_are_followed_after_odd_entries(self) -> None:
         store = memory.create_memory_store(progress_interval_s=0.02)
         discovery = discovery_lib.create_discovery(
@@ -201,6 +223,8 @@
             b"null",
             add_member(test_platform.ENTRY, DEEP_ARRAY),
             add_member(test_platform.ENTRY, DEEP_OBJECT),
+            json.dumps({**test_platform.ENTRY, "slots": 2**80}).encode(),
+            json.dumps({**test_platform.ENTRY, "address": "a:99999"}).encode(),
         )
         await write(store, "op/retire/a", add_member({"a": 1}, DEEP_ARRAY))
         await write(store, "op/config", add_member({"a": 1}, DEEP_ARRAY))
