Log once that an entry names no usable endpoint

An endpoint whose entry could not be used was missing without a trace; with a line for each entry, one that is rewritten every 1.2 s would fill the log.

Change: the discovery logs endpoint:ignored when an entry becomes unusable, and again only after the entry was usable or gone.

Evidence: 3 of 4 cases of test_repeated_odd_entry_is_logged_once failed before, as there was no line.

--- a/eelgrassgate/gateway/discovery.py
+++ b/eelgrassgate/gateway/discovery.py
@@ -106,6 +106,7 @@
         self._retirements.subscribe(self._apply_retirements)
         self._endpoints.subscribe(self._apply_endpoints)
         self._expires_at_by_id: dict[str, float] = {}
+        self._ignored_ids: set[str] = set()
         self._loaded = anyio.Event()
         self._endpoints_listeners: list[
             Callable[[dict[str, catalog.Endpoint]], None]
@@ -183,6 +184,9 @@
                 found = self._documents.decode_endpoint(
                     change.key, change.value
                 )
+            self._record_ignored(
+                name, is_ignored=found is None and change.value is not None
+            )
             if found is not None:
                 self._expires_at_by_id.pop(name, None)
                 if found != known:
@@ -196,6 +200,14 @@
         self._remove_expired()
         self._signal_if_loaded()
 
+    def _record_ignored(self, name: str, *, is_ignored: bool) -> None:
+        """Log an unusable entry once, as its writer may repeat it for ever."""
+        if not is_ignored:
+            self._ignored_ids.discard(name)
+        elif name not in self._ignored_ids:
+            self._ignored_ids.add(name)
+            logs.log_message("endpoint:ignored", endpoint=name)
+
     def _compute_expiry(self) -> float:
         """Return when to remove an endpoint whose entry is missing.
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -5,11 +5,13 @@
 from typing import Any
 from typing import Final
 import unittest
+from unittest import mock
 
 import anyio
 import msgspec
 
 from eelgrassgate import addresses
+from eelgrassgate import logs
 from eelgrassgate.batches import records
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
@@ -205,6 +207,27 @@
                     found = documents.decode_endpoint("servers/e", odd.encode())
                     self.assertIsNone(found)
 
+    async def test_repeated_odd_entry_is_logged_once(self) -> None:
+        discovery = discovery_lib.create_discovery(
+            memory.create_memory_store(), documents.PlatformDocuments()
+        )
+        sound = msgspec.json.encode(test_platform.ENTRY)
+        for values, lines in (
+            ([b"", b"{}", b"[]"], 1),
+            ([sound, b""], 1),
+            ([None, b""], 1),
+            ([sound, sound, None], 0),
+        ):
+            with (
+                self.subTest(values),
+                mock.patch.object(logs, "log_message") as log_message,
+            ):
+                for value in values:
+                    change = base.Change("servers/e", value, 1)
+                    discovery._apply_endpoints((change,))
+                kinds = [one.args[0] for one in log_message.call_args_list]
+                self.assertEqual(kinds.count("endpoint:ignored"), lines)
+
     def test_ids_that_no_header_holds_name_no_endpoint(self) -> None:
         sound = msgspec.json.encode(test_platform.ENTRY)
         for name in ("", " ", " e", "e\r\nx: y", "e\x00", "e\x7f", "e" * 201):
