List no member whose address or name is invalid

What operators saw: one odd entry among those of the processes ended every process of the fleet.

Cause: the directory listed any member that decoded. Sending a report parsed the member's address with int() and passed any port on, in the task that sends all reports; only OSError was caught. A name in place of an address would have been resolved there, which blocks the process.

Change: the directory checks an entry's addresses with addresses.parse and that its name is that of its key, logs member:invalid and keeps what it knew. The second place that parsed addresses by hand, for the own socket, uses the same function.

Ruled out: an unknown zone or region only makes a member a distant one; roles are an enumeration, so an unknown one does not decode; incarnations are only compared.

--- a/eelgrassgate/addresses.py
+++ b/eelgrassgate/addresses.py
@@ -55,6 +55,15 @@
     return True
 
 
+def is_ipv4(text: str) -> bool:
+    """Return whether a text is an address whose host is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(parse(text).host)
+    except ValueError:
+        return False
+    return True
+
+
 def _is_host(text: str) -> bool:
     if ":" not in text:
         return bool(_HOST_NAME.fullmatch(text))
--- a/eelgrassgate/peering/registry.py
+++ b/eelgrassgate/peering/registry.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import addresses
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
@@ -160,7 +161,7 @@
                 self._expired_names.add(name)
                 continue
             try:
-                member = decoding.decode(_MEMBER_DECODER, change.value)
+                member = _decode_member(name, change.value)
             except msgspec.MsgspecError as error:
                 logs.log_message("member:invalid", name=name, reason=str(error))
                 continue
@@ -188,6 +189,24 @@
         )
 
 
+def _decode_member(name: str, value: bytes) -> Member:
+    """Decode an entry.
+
+    Raises:
+        msgspec.MsgspecError: The entry is malformed or names no process to
+            which reports can be sent.
+    """
+    member = decoding.decode(_MEMBER_DECODER, value)
+    if member.name != name:
+        raise msgspec.ValidationError("the name differs from the key")
+    # Sending a datagram to a name would block on resolving it.
+    if not addresses.is_ipv4(member.address):
+        raise msgspec.ValidationError("invalid address")
+    if not addresses.is_valid(member.relay_address):
+        raise msgspec.ValidationError("invalid relay address")
+    return member
+
+
 def create_registration(store: base.Store, member: Member) -> Registration:
     """Create the registration of `member`."""
     return Registration(store, member)
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from eelgrassgate import addresses
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
@@ -211,8 +212,8 @@
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
-        host, _, port = self._member.address.rpartition(":")
-        socket = datagrams.create_datagram_socket(host, int(port))
+        own = addresses.parse(self._member.address)
+        socket = datagrams.create_datagram_socket(own.host, own.port)
         async with socket, anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive, socket)
             await self._send_loop(socket)
@@ -401,9 +402,9 @@
         member: registry.Member,
         data: bytes,
     ) -> None:
-        host, _, port = member.address.rpartition(":")
+        target = addresses.parse(member.address)
         try:
-            socket.send(data, host, int(port))
+            socket.send(data, target.host, target.port)
         except OSError as error:
             logs.log_message(
                 "reports:send_failed", peer=member.name, reason=str(error)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -17,6 +17,8 @@
 from eelgrassgate.gateway import discovery as discovery_lib
 from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
+from eelgrassgate.peering import failures
+from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import reports
 from eelgrassgate.platform import batch_calls as platform_batch_calls
@@ -26,6 +28,7 @@
 from eelgrassgate.store import base
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
+from tests import loopback
 from tests import site as site_lib
 from tests import test_peering
 from tests import test_platform
@@ -113,6 +116,54 @@
                     self.assertTrue(site.placement.is_in_backoff(odd.name))
 
 
+class MemberEntryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reports_are_sent_on_beside_odd_members(self) -> None:
+        ports = loopback.find_free_ports(2)
+        own, sound = (
+            test_peering.make_member(name, port=port, relay_port=port)
+            for name, port in zip("ab", ports, strict=True)
+        )
+        store = memory.create_memory_store(progress_interval_s=0.02)
+        members = mirror.create_mirror(store, registry.MEMBERS_PREFIX)
+        directory = registry.create_directory(members)
+        exchanges = [
+            reports.create_reports(
+                one,
+                directory,
+                loads.create_loads(),
+                failures.create_failures(),
+                quarantine_lib.create_quarantine(),
+                lambda: True,
+            )
+            for one in (own, sound)
+        ]
+        entries = {"a": own, "b": sound, "of another name": sound}
+        for field, values in (
+            ("address", (*ODD_ADDRESSES, "localhost:1")),
+            ("relay_address", ODD_ADDRESSES),
+        ):
+            for number, value in enumerate(values):
+                name = f"{field}-{number}"
+                entries[name] = msgspec.structs.replace(
+                    sound, **{"name": name, field: value}
+                )
+        for name, entry in entries.items():
+            key = f"{registry.MEMBERS_PREFIX}{name}"
+            await write(store, key, msgspec.json.encode(entry))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(members.run)
+            for exchange in exchanges:
+                tasks.start_soon(exchange.run)
+            with anyio.fail_after(TIMEOUT_S):
+                while not all(
+                    exchange.is_directly_reachable(name)
+                    for exchange, name in zip(exchanges, "ba", strict=True)
+                ):
+                    await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(set(directory.members_by_name), {"a", "b"})
+
+
 class DeepNestingTest(unittest.IsolatedAsyncioTestCase):
     def test_deep_values_are_invalid(self) -> None:
         dialect = platform_batch_calls.PlatformBatchDialect()
