Report a request that HTTP can't express as not sent

What callers saw: a request that can't be written, such as one to an endpoint whose id holds a line feed, ended as an internal error without an answer.

Cause: Connection.start encoded the request in a task of its own, so h11's LocalProtocolError left it as a group of exceptions. Callers handle ExchangeError.

Evidence: all 6 cases of the test failed before with that group: header values with a line feed or a leading blank, a header name or target with a blank, two hosts, a body without a length.

Change: the request is encoded before anything is sent, and start raises InvalidRequestError, an ExchangeError with was_sent False. A late response is skipped with the same function, which writes the request again.

Ruled out: requests read from callers by h11's server side are bounded by the same grammar; ids of endpoints are checked when their entries are decoded.

--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -72,6 +72,14 @@
         self.was_sent = was_sent
 
 
+class InvalidRequestError(ExchangeError):
+    """A request that HTTP can't express, so that nothing was sent."""
+
+    def __init__(self, message: str) -> None:
+        """Initialize with a message."""
+        super().__init__(message, False)
+
+
 _CONNECTION_ERRORS: Final = (
     OSError,
     h11.RemoteProtocolError,
@@ -114,12 +122,17 @@
         an earlier request and are discarded.
 
         Raises:
+            InvalidRequestError: The request can't be sent.
             ExchangeError: The connection failed before the head was received.
         """
         self.is_reusable = False
+        try:
+            data = _write_request(self._http, request)
+        except h11.LocalProtocolError as error:
+            raise InvalidRequestError(str(error)) from error
         failure: ExchangeError | None = None
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send, request)
+            tasks.start_soon(self._send, data)
             try:
                 await self._read_head(request, is_expected)
             except _CONNECTION_ERRORS as error:
@@ -130,16 +143,7 @@
         if failure is not None:
             raise failure
 
-    async def _send(self, request: Request) -> None:
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=list(request.headers),
-        )
-        data = self._http.send(head) or b""
-        if request.body:
-            data += self._http.send(h11.Data(data=request.body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
+    async def _send(self, data: bytes) -> None:
         try:
             await self._stream.send(data)
         except _CONNECTION_ERRORS:
@@ -174,16 +178,7 @@
         # A new h11 connection expects to send a request before it reads a
         # response. The request was sent already, so its bytes are discarded.
         self._http = h11.Connection(h11.CLIENT)
-        self._http.send(
-            h11.Request(
-                method=request.method,
-                target=request.target,
-                headers=list(request.headers),
-            )
-        )
-        if request.body:
-            self._http.send(h11.Data(data=request.body))
-        self._http.send(h11.EndOfMessage())
+        _write_request(self._http, request)
         if trailing_data:
             self._http.receive_data(trailing_data)
 
@@ -281,6 +276,23 @@
         await sockets.abort(self._stream)
 
 
+def _write_request(connection: h11.Connection, request: Request) -> bytes:
+    """Return the bytes of a request.
+
+    Raises:
+        h11.LocalProtocolError: HTTP can't express the request.
+    """
+    head = h11.Request(
+        method=request.method,
+        target=request.target,
+        headers=list(request.headers),
+    )
+    data = connection.send(head) or b""
+    if request.body:
+        data += connection.send(h11.Data(data=request.body)) or b""
+    return data + (connection.send(h11.EndOfMessage()) or b"")
+
+
 def _convert_error(error: Exception) -> ExchangeError:
     return ExchangeError(str(error) or type(error).__name__, True)
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -116,6 +116,33 @@
                     self.assertTrue(site.placement.is_in_backoff(odd.name))
 
 
+class InvalidRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_sent_of_a_request_that_http_can_not_express(
+        self,
+    ) -> None:
+        host = (b"host", b"a")
+        async with site_lib.open_site() as site:
+            for name, target, headers in (
+                ("line feed in a value", b"/a", (host, (b"x", b"a\nb"))),
+                ("blank before a value", b"/a", (host, (b"x", b" a"))),
+                ("name of a header", b"/a", (host, (b"x y", b"a"))),
+                ("blank in the target", b"/a b", (host,)),
+                ("two hosts", b"/a", (host, host)),
+                ("body without a length", b"/a", (host,)),
+            ):
+                with self.subTest(name):
+                    body = b"q" if name.startswith("body") else b""
+                    request = upstream.Request(b"POST", target, headers, body)
+                    with self.assertRaises(upstream.ExchangeError) as caught:
+                        async with site.pool.use(
+                            site.endpoints[0].address
+                        ) as connection:
+                            await connection.start(request, lambda head: True)
+                    self.assertFalse(caught.exception.was_sent)
+            self.assertEqual(site.count_runs(), 0)
+            self.assertEqual(site.pool.opened, 6)
+
+
 class MemberEntryTest(unittest.IsolatedAsyncioTestCase):
     async def test_reports_are_sent_on_beside_odd_members(self) -> None:
         ports = loopback.find_free_ports(2)
