End items that HTTP can't express as dead letters

What callers saw: one accepted job whose item had a header outside of Latin-1 ended the batch process that claimed it, then the next one, and so on; results of other jobs came late or, past their retention, not at all. An item whose id or header held a line feed was tried every 0.2 s until its retention ended, and each try put a sound endpoint in backoff.

Cause: items are stored as the caller sent them. The loop that starts items encodes their headers to read the prompt parts; UnicodeEncodeError ended it. In a run, such errors counted as a broken response of the endpoint.

Evidence: the test failed before with UnicodeEncodeError from the owner's task group; after it, seven odd items are dead letters, the sound one is complete, and no endpoint is in backoff.

Change: encoding raises InvalidRequestError, which makes the item impossible, like status 422. Its prompt parts are none. The other items of the job run.

Ruled out: rejecting the whole job with 400; its sound items would be lost to the caller, and jobs that are already stored would still end the process.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -30,8 +30,8 @@
     Attributes:
         COMPLETE: The complete output was received.
         FAILED: The endpoint responded with status 500.
-        IMPOSSIBLE: The endpoint responded with status 422; the item is not
-            retried.
+        IMPOSSIBLE: The endpoint responded with status 422, or HTTP can't
+            express the item; it is not retried.
         NOT_RUN: The endpoint responded that it did not run the item.
         NOT_SENT: The endpoint was unreachable; nothing was sent.
         BROKEN: The response was incomplete or invalid; a retry may succeed.
@@ -90,13 +90,13 @@
     Returns:
         The outcome and its reason.
     """
-    call = _build_call(dialect, progress.item, host, deadline)
-    attempt = calls.Attempt(
-        endpoint.id, workspace, deadline, progress.last_event or None
-    )
-    request = dialect.write_attempt(call, attempt)
     sent_at = deadlines.now()
     try:
+        call = _build_call(dialect, progress.item, host, deadline)
+        attempt = calls.Attempt(
+            endpoint.id, workspace, deadline, progress.last_event or None
+        )
+        request = dialect.write_attempt(call, attempt)
         async with pool.use(endpoint.address) as connection:
             connection.on_receive = record_activity
             with idle_timeout.fail_when_idle(IDLE_TIMEOUT_S) as reset_timeout:
@@ -114,6 +114,8 @@
                 return await _read_response(
                     info, connection, reset_timeout, progress
                 )
+    except upstream.InvalidRequestError as error:
+        return Outcome.IMPOSSIBLE, str(error)
     except upstream.ExchangeError as error:
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
         return outcome, str(error)
@@ -125,28 +127,38 @@
     dialect: calls.Dialect, item: calls.BatchItem
 ) -> tuple[str, ...]:
     """Return `calls.Call.prompt_parts` of an item."""
-    return dialect.read_prompt_parts(_encode_headers(item))
+    try:
+        return dialect.read_prompt_parts(_encode_headers(item))
+    except upstream.InvalidRequestError:
+        return ()
 
 
 def _encode_headers(item: calls.BatchItem) -> upstream.Headers:
     return tuple(
-        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        (_encode(name.lower()), _encode(value))
         for name, value in item.headers.items()
     )
 
 
+def _encode(text: str) -> bytes:
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise upstream.InvalidRequestError(str(error)) from error
+
+
 def _build_call(
     dialect: calls.Dialect, item: calls.BatchItem, host: str, deadline: float
 ) -> calls.Call:
     headers = (
-        (b"host", host.encode("latin-1")),
-        (b"request-id", item.id.encode("latin-1")),
+        (b"host", _encode(host)),
+        (b"request-id", _encode(item.id)),
         *_encode_headers(item),
     )
     return calls.Call(
         item.id,
         b"POST",
-        item.path.encode("latin-1"),
+        _encode(item.path),
         host,
         item.path.partition("?")[0],
         None,
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -13,6 +13,7 @@
 from eelgrassgate import addresses
 from eelgrassgate import logs
 from eelgrassgate.batches import records
+from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
 from eelgrassgate.http1 import sockets
@@ -30,6 +31,7 @@
 from eelgrassgate.store import mirror
 from tests import loopback
 from tests import site as site_lib
+from tests import test_batches
 from tests import test_peering
 from tests import test_platform
 
@@ -143,6 +145,37 @@
             self.assertEqual(site.pool.opened, 6)
 
 
+class ItemTest(unittest.IsolatedAsyncioTestCase):
+    async def test_items_that_http_can_not_express_stop_no_other(self) -> None:
+        odd = {
+            "\u2603": {},
+            "line\nfeed": {},
+            "value": {"X": "\u2603"},
+            "line feed in a value": {"X": "a\nb"},
+            "prompt parts": {"Prompt-Prefix": "\u2603:1,b:1"},
+            "two hosts": {"Host": "other.example"},
+        }
+        items = [calls.BatchItem(key, "/batch/1", odd[key], b"") for key in odd]
+        items.append(calls.BatchItem("path", "/batch/\u2603", {}, b""))
+        async with test_batches.open_harness() as harness:
+            await test_batches.submit(
+                harness.store,
+                items=(*items, *test_batches.make_items(1)),
+            )
+            found = await harness.read_all()
+            in_backoff = [
+                one.name
+                for one in harness.endpoints
+                if harness.placement.is_in_backoff(one.name)
+            ]
+        self.assertEqual(found.pop("i0").state, records.COMPLETED)
+        states = {key: one.state for key, one in found.items()}
+        self.assertEqual(
+            states, dict.fromkeys([*odd, "path"], records.DEAD_LETTER)
+        )
+        self.assertEqual(in_backoff, [])
+
+
 class MemberEntryTest(unittest.IsolatedAsyncioTestCase):
     async def test_reports_are_sent_on_beside_odd_members(self) -> None:
         ports = loopback.find_free_ports(2)
