Take no event for an item's output that is no valid text

What callers saw: an endpoint that sent a byte outside of UTF-8 in an event's data ended the batch process that ran the item; all its claims waited for its lease. With such a byte or a control character in an event's id, the event was taken for output, and the item could not be resumed there.

Cause: events are decoded with surrogate escapes, so that their bytes can be kept. The result of an item is text, and encoding it for the commit raised UnicodeEncodeError in the task of the job.

Evidence: the 4 cases of the test failed before, one by that exception from the owner's task group, three by an odd event in the stored text.

Change: such an event breaks the run, like one out of order, before it is recorded; the item goes on elsewhere after its last sound event.

Ruled out: replacing the bytes, since the stored text would then differ from what the endpoint sent.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -205,6 +205,8 @@
         if complete_events:
             reset_timeout(IDLE_TIMEOUT_S)
         for event in complete_events:
+            if not _is_text(event):
+                return Outcome.BROKEN, "event is no valid text"
             if not _is_next_event(progress.last_event, event.id):
                 return Outcome.BROKEN, f"event {event.id} is out of order"
             progress.last_event = event.id or progress.last_event
@@ -217,6 +219,16 @@
     return Outcome.COMPLETE, ""
 
 
+def _is_text(event: events.Event) -> bool:
+    """Return whether an event can be stored, and its id sent in a header."""
+    text = event.id + (event.data or "")
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return event.id.isprintable() and event.id == event.id.strip()
+
+
 def _is_next_event(last_id: str, event_id: str) -> bool:
     """Return whether an event id follows the last one without a gap.
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -26,6 +26,7 @@
 from eelgrassgate.platform import documents
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.quarantine import storage
+from eelgrassgate.standins import endpoint
 from eelgrassgate.store import base
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
@@ -175,6 +176,30 @@
         )
         self.assertEqual(in_backoff, [])
 
+    async def test_events_that_are_no_text_are_not_taken_for_output(
+        self,
+    ) -> None:
+        write_event = endpoint.write_event
+        for odd in (
+            b"id: 1\ndata: \xff\n\n",
+            b"id: \xff\ndata: a\n\n",
+            b"id: 1\x00\ndata: a\n\n",
+            b"id:  1\ndata: a\n\n",
+        ):
+            left = [odd]
+
+            def write_odd_once(number: int, left: list[bytes] = left) -> bytes:
+                return left.pop() if left else write_event(number)
+
+            with (
+                self.subTest(odd),
+                mock.patch.object(endpoint, "write_event", write_odd_once),
+            ):
+                async with test_batches.open_harness() as harness:
+                    await test_batches.submit(harness.store, 1)
+                    found = await harness.read_all()
+                self.assertEqual(found["i0"].text, test_batches.TEXT)
+
 
 class MemberEntryTest(unittest.IsolatedAsyncioTestCase):
     async def test_reports_are_sent_on_beside_odd_members(self) -> None:
