Run other jobs while the record of one is invalid

What operators saw: a record of an open job, a claim or a head of results that could not be decoded ended each batch process that followed the jobs.

Cause: the listener of the mirror, the loop that claims jobs and the task of a job decoded these values without handling errors. Numbers were of any size; a time far in the future overflowed when the remaining milliseconds of an item were computed, which counted as a broken response of the endpoint.

Evidence: test_odd_records_of_jobs_stop_no_other_job, with 12 odd keys, failed before with msgspec.ValidationError from the owner's task group; after it, the sound job is complete.

Change: a job whose record is invalid, out of bounds or under the key of another job is logged (job:invalid) and not run; it stays open. An invalid head or part counts as a failed store call, so the job is tried again. A claim that names nobody may be replaced, or its job would never run.

Ruled out: cancellations, of which only the key is used; a key that is no quoted id matches no job.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -139,9 +139,7 @@
                     self._closed_jobs.discard(job)
                     self._stop_cancelled_job(job)
                 else:
-                    self._jobs_by_id[job] = _OpenJob(
-                        records.decode_job(change.value), change.revision
-                    )
+                    self._open_job(job, change.value, change.revision)
             elif kind == records.CANCELLATIONS:
                 if change.value is None:
                     self._cancelled_jobs.discard(job)
@@ -149,6 +147,21 @@
                     self._cancelled_jobs.add(job)
                     self._stop_cancelled_job(job)
 
+    def _open_job(self, name: str, value: bytes, revision: int) -> None:
+        """Add or replace an open job; one whose record is invalid is not run.
+
+        It stays open, so that a process that can read it may run it.
+        """
+        try:
+            job = records.decode_job(value)
+            if records.quote(job.id) != name:
+                raise msgspec.ValidationError("the id differs from the key")
+        except msgspec.MsgspecError as error:
+            logs.log_message("job:invalid", job=name, reason=str(error))
+            self._jobs_by_id.pop(name, None)
+            return
+        self._jobs_by_id[name] = _OpenJob(job, revision)
+
     def add_job(self, job: records.Job, revision: int) -> None:
         """Add a job that was just accepted, before the watch delivers it."""
         known = _OpenJob(job, revision)
@@ -270,14 +283,16 @@
             size -= sum(len(one.text) for one in dropped.committed)
 
     def _is_stale_claim(self, claim: base.Record) -> bool:
-        """Return whether this instance itself claims an untracked job.
+        """Return whether a claim keeps an untracked job from being claimed.
 
-        Such a claim was made by an earlier process of this instance whose
+        That is so for a claim that names nobody and for one of this instance.
+
+        The latter was made by an earlier process of this instance whose
         lease has not expired yet, or by this process before it dropped the
         job. No other process would claim the job.
         """
-        owner, _ = ownership.parse_claim(claim.value)
-        return owner == self._member.name
+        parsed = ownership.parse_claim(claim.value)
+        return parsed is None or parsed[0] == self._member.name
 
     async def _run_job(self, name: str, owned: ownership.OwnedJob) -> None:
         """Claim a job and commit its results until it is closed or lost."""
@@ -322,9 +337,7 @@
             f"{records.OPEN_JOBS}{name}"
         )
         if record is not None:
-            self._jobs_by_id[name] = _OpenJob(
-                records.decode_job(record.value), record.revision
-            )
+            self._open_job(name, record.value, record.revision)
 
     async def _claim(self, owned: ownership.OwnedJob) -> None:
         """Claim a job.
--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -1,6 +1,8 @@
 """A job that this process runs: its claim, items and result commits."""
 
+import re
 import time
+from typing import Final
 import uuid
 
 import anyio
@@ -13,6 +15,8 @@
 from eelgrassgate.batches import records
 from eelgrassgate.store import base
 
+_CLAIM: Final = re.compile(r"(.+) ([0-9]{1,20})")
+
 
 class StoreFailedError(Exception):
     """A store call failed; the operation can be retried."""
@@ -146,8 +150,15 @@
         """Read the committed results and the items that are left to run.
 
         Raises:
-            StoreFailedError: A store call failed or a value is missing.
+            StoreFailedError: A store call failed, or a value is missing or
+                invalid.
         """
+        try:
+            await self._load()
+        except msgspec.MsgspecError as error:
+            raise StoreFailedError(f"invalid value: {error}") from error
+
+    async def _load(self) -> None:
         await self._load_head()
         committed: list[records.Result] = []
         for part in range(len(self._head.ends)):
@@ -216,7 +227,8 @@
         """Commit results that have been recorded, at most one part.
 
         Raises:
-            StoreFailedError: The store call failed; call again.
+            StoreFailedError: The store call failed or the head of the results
+                is invalid; call again.
             OwnershipLostError: Another process owns the job.
         """
         if self._pending is None:
@@ -229,7 +241,10 @@
         if commit.is_done:
             self._apply_commit(commit.revision)
             return
-        await self._resolve_conflict(commit)
+        try:
+            await self._resolve_conflict(commit)
+        except msgspec.MsgspecError as error:
+            raise StoreFailedError(f"invalid head: {error}") from error
 
     def _prepare_commit(self) -> None:
         """Build the transaction that commits the next part of results."""
@@ -317,10 +332,13 @@
     )
 
 
-def parse_claim(value: bytes) -> tuple[str, int]:
-    """Return the instance name and the incarnation that a claim holds."""
-    owner, _, incarnation = value.decode().rpartition(" ")
-    return owner, int(incarnation)
+def parse_claim(value: bytes) -> tuple[str, int] | None:
+    """Return the instance name and the incarnation that a claim holds.
+
+    Returns None if it holds none.
+    """
+    found = _CLAIM.fullmatch(value.decode("utf-8", "replace"))
+    return None if found is None else (found[1], int(found[2]))
 
 
 def create_owned_job(
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -5,6 +5,7 @@
 processes.
 """
 
+from typing import Annotated
 from typing import Final
 import urllib.parse
 
@@ -27,9 +28,17 @@
 # Values are limited to 1 MiB of base64 text.
 MAX_PART_BYTES: Final = 700_000
 
+# Bounds on numbers in stored values; sums of them fit into 64 bits, and times
+# in seconds can be converted to milliseconds.
+MAX_COUNT: Final = 2**53
+MAX_WALL_TIME_S: Final = 1e12
+
 COMPLETED: Final = "completed"
 DEAD_LETTER: Final = "dead_letter"
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_WallTime = Annotated[float, msgspec.Meta(ge=0, le=MAX_WALL_TIME_S)]
+
 
 class Job(msgspec.Struct, frozen=True):
     """An accepted job; immutable.
@@ -51,11 +60,11 @@
     workspace: str
     host: str
     path: str
-    total: int
-    parts: int
-    due: float
-    kept_until: float
-    config_version: int = 0
+    total: _Count
+    parts: _Count
+    due: _WallTime
+    kept_until: _WallTime
+    config_version: _Count = 0
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -67,7 +76,7 @@
         is_closed: Whether the results of all items are committed.
     """
 
-    ends: tuple[int, ...] = ()
+    ends: tuple[_Count, ...] = ()
     commit: str = ""
     is_closed: bool = False
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -176,6 +176,31 @@
         )
         self.assertEqual(in_backoff, [])
 
+    async def test_odd_records_of_jobs_stop_no_other_job(self) -> None:
+        opened = records.OPEN_JOBS
+        job = records.Job("j", "w", "h", "/batch/", 1, 1, 1.0, 9.0)
+        cases: dict[str, bytes] = {
+            f"{opened}j": msgspec.json.encode(job),
+            f"{opened}empty": b"",
+            f"{opened}deep": DEEP_ARRAY,
+            f"{opened}other": msgspec.json.encode(job),
+            f"{records.HEADS}j": b"[]",
+            f"{records.CLAIMS}empty": b"\xff",
+            f"{records.CLAIMS}{test_batches.JOB}": b"b x",
+            f"{records.CANCELLATIONS}\x00": b"\xff",
+        }
+        for field in ("total", "parts", "due", "kept_until"):
+            odd = {**msgspec.to_builtins(job), "id": field, field: 10**300}
+            cases[f"{opened}{field}"] = json.dumps(odd).encode()
+        async with test_batches.open_harness() as harness:
+            for key, value in cases.items():
+                await write(harness.store, key, value)
+            await test_batches.submit(harness.store, 1)
+            found = await harness.read_all()
+            opened_names = set(harness.owner._jobs_by_id)
+        self.assertEqual(found["i0"].state, records.COMPLETED)
+        self.assertLessEqual(opened_names, {"j", test_batches.JOB})
+
     async def test_events_that_are_no_text_are_not_taken_for_output(
         self,
     ) -> None:
