Answer 400 to calls about jobs that can't be parsed

What operators saw: one call of another process with a malformed announcement, or a position or wait that is no number, ended the batch process.

Cause: OwnerApi passed the exceptions of int() and of the decoder on to the task group of the listener. A negative position read another page.

Evidence: test_odd_calls_of_peers_do_not_end_the_process failed before with ValueError from that task group; now it gets 400 for each of 13 odd calls, and the results afterwards.

Change: counts are parsed with a bound of 15 digits, announcements are decoded like all other bytes of others; what is invalid gets 400.

Ruled out: ids of jobs are only looked up; unquoting replaces invalid bytes.

--- a/eelgrassgate/batches/owner_api.py
+++ b/eelgrassgate/batches/owner_api.py
@@ -4,6 +4,7 @@
 results are current, it returns 404 and the gateway falls back to the store.
 """
 
+import re
 from typing import Final
 import urllib.parse
 
@@ -11,6 +12,8 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
+from eelgrassgate import logs
 from eelgrassgate.batches import owner as owner_lib
 from eelgrassgate.batches import records
 from eelgrassgate.http1 import downstream
@@ -19,11 +22,15 @@
 # Query field: position of the first result. A request without it reads the
 # job's record.
 AFTER: Final = "after"
+# Query field: milliseconds to wait for a result.
+WAIT_MS: Final = "wait_ms"
 OK: Final = 200
+BAD_REQUEST: Final = 400
 NOT_FOUND: Final = 404
 MS_PER_S: Final = 1000.0
 # Bound on the length of the text in one response.
 MAX_RESPONSE_BYTES: Final = 900_000
+_COUNT: Final = re.compile(r"[0-9]{1,15}")
 
 
 class Listing(msgspec.Struct, frozen=True):
@@ -47,6 +54,9 @@
     revision: int
 
 
+_ANNOUNCEMENT_DECODER: Final = msgspec.json.Decoder(Announcement)
+
+
 def select_page(
     committed: list[records.Result], after: int
 ) -> tuple[records.Result, ...]:
@@ -75,9 +85,7 @@
     ) -> None:
         """Handle a request of a gateway."""
         if incoming.method == b"POST":
-            announcement = msgspec.json.decode(incoming.body, type=Announcement)
-            self._owner.add_job(announcement.job, announcement.revision)
-            await responder.reply(OK)
+            await self._add_job(incoming.body, responder)
             return
         path, _, query = incoming.target.decode("latin-1").partition("?")
         job = urllib.parse.unquote(path.removeprefix(PATH))
@@ -89,13 +97,29 @@
             else:
                 await responder.reply(OK, (), msgspec.json.encode(record))
             return
-        wait_s = int(fields.get("wait_ms", "0")) / MS_PER_S
-        listing = await self._read_results(job, int(fields[AFTER]), wait_s)
+        after = _parse_count(fields[AFTER])
+        wait_ms = _parse_count(fields.get(WAIT_MS, "0"))
+        if after is None or wait_ms is None:
+            await responder.reply(BAD_REQUEST)
+            return
+        listing = await self._read_results(job, after, wait_ms / MS_PER_S)
         if listing is None:
             await responder.reply(NOT_FOUND)
         else:
             await responder.reply(OK, (), msgspec.msgpack.encode(listing))
 
+    async def _add_job(
+        self, body: bytes, responder: downstream.Responder
+    ) -> None:
+        try:
+            announcement = decoding.decode(_ANNOUNCEMENT_DECODER, body)
+        except msgspec.MsgspecError as error:
+            logs.log_message("job:invalid", reason=str(error))
+            await responder.reply(BAD_REQUEST)
+            return
+        self._owner.add_job(announcement.job, announcement.revision)
+        await responder.reply(OK)
+
     async def _read_results(
         self, job: str, after: int, wait_s: float
     ) -> Listing | None:
@@ -117,6 +141,11 @@
         return Listing(owned.job.total, after + len(found), found)
 
 
+def _parse_count(text: str) -> int | None:
+    """Parse a count; None if it is none."""
+    return int(text) if _COUNT.fullmatch(text) else None
+
+
 def create_owner_api(owner: owner_lib.Owner) -> OwnerApi:
     """Create the API of an owner."""
     return OwnerApi(owner)
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -206,7 +206,7 @@
             query = urllib.parse.urlencode(
                 {
                     owner_api.AFTER: after,
-                    "wait_ms": int(wait_s * owner_api.MS_PER_S),
+                    owner_api.WAIT_MS: int(wait_s * owner_api.MS_PER_S),
                 }
             )
             target = f"{owner_api.PATH}{records.quote(job.id)}?{query}"
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -12,6 +12,7 @@
 
 from eelgrassgate import addresses
 from eelgrassgate import logs
+from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
@@ -21,6 +22,7 @@
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
+from eelgrassgate.peering import relay
 from eelgrassgate.peering import reports
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import documents
@@ -201,6 +203,43 @@
         self.assertEqual(found["i0"].state, records.COMPLETED)
         self.assertLessEqual(opened_names, {"j", test_batches.JOB})
 
+    async def test_odd_calls_of_peers_do_not_end_the_process(self) -> None:
+        (port,) = loopback.find_free_ports(1)
+        server = relay.create_relay("127.0.0.1:9")
+        pool = upstream.create_pool(0.2)
+        address = f"127.0.0.1:{port}"
+        host = (b"host", b"a")
+
+        async def call(target: bytes, body: bytes = b"") -> int:
+            length = (b"content-length", b"%d" % len(body))
+            method = b"POST" if body else b"GET"
+            request = upstream.Request(method, target, (host, length), body)
+            async with pool.use(address) as connection:
+                await connection.start(request, lambda head: True)
+                await connection.read_body()
+                return connection.head.status
+
+        async with (
+            test_batches.open_harness() as harness,
+            anyio.create_task_group() as tasks,
+        ):
+            await test_batches.submit(harness.store, 1)
+            await harness.read_all()
+            server.job_handler = owner_api.create_owner_api(
+                harness.owner
+            ).handle
+            tasks.start_soon(server.run, address)
+            await anyio.wait_all_tasks_blocked()
+            path = f"{owner_api.PATH}{test_batches.JOB}".encode()
+            for number in (b"x", b"-1", b"%C2%B2", b"9" * 400, b"9" * 5000):
+                for query in (b"after=%s", b"after=0&wait_ms=%s"):
+                    status = await call(path + b"?" + query % number)
+                    self.assertEqual(status, 400)
+            for body in (b"{", DEEP_ARRAY, add_member({"a": 1}, DEEP_OBJECT)):
+                self.assertEqual(await call(path, body), 400)
+            self.assertEqual(await call(path + b"?after=0"), 200)
+            tasks.cancel_scope.cancel()
+
     async def test_events_that_are_no_text_are_not_taken_for_output(
         self,
     ) -> None:
