Refuse reads of jobs whose stored values are invalid

What callers saw: a read of a job whose record, head, results or items could not be decoded ended as an internal error without an answer; so did a job that was submitted again.

Cause: the reader and the submission let the decoder's MsgspecError pass. It handles UnavailableError, which is answered by 503.

Change: values and owners' answers that are invalid count as unavailable; a submission that meets an invalid record is unknown, which is answered by 504.

--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Final
+from typing import TypeVar
 import urllib.parse
 
 import anyio
@@ -10,6 +11,7 @@
 from returns import result
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
@@ -32,9 +34,11 @@
 HEAD_POLL_INTERVAL_S: Final = 0.4
 OK: Final = 200
 
+_T = TypeVar("_T")
+
 
 class UnavailableError(Exception):
-    """The store call failed, so the result is unknown."""
+    """A call failed or its answer is invalid, so the result is unknown."""
 
 
 async def _read(store: base.Store, key: str) -> base.Record | None:
@@ -44,6 +48,25 @@
     return answer.unwrap()
 
 
+_LISTING_DECODER: Final = msgspec.msgpack.Decoder(owner_api.Listing)
+
+
+def _decode_listing(value: bytes) -> owner_api.Listing:
+    return decoding.decode(_LISTING_DECODER, value)
+
+
+def _decode(decode: Callable[[bytes], _T], value: bytes) -> _T:
+    """Decode a stored value or an owner's response.
+
+    Raises:
+        UnavailableError: It is invalid.
+    """
+    try:
+        return decode(value)
+    except msgspec.MsgspecError as error:
+        raise UnavailableError(f"invalid value: {error}") from error
+
+
 class Reader:
     """Reads from job owners and falls back to the store."""
 
@@ -81,7 +104,7 @@
             record = await _read(self._store, key)
             if record is None:
                 return None
-            found = records.decode_job(record.value)
+            found = _decode(records.decode_job, record.value)
         self._cache_job(found)
         return found if found.workspace == workspace else None
 
@@ -91,7 +114,7 @@
             target = f"{owner_api.PATH}{records.quote(job)}"
             body = await self._query_owner(member, b"GET", target)
             if body is not None:
-                return records.decode_job(body)
+                return _decode(records.decode_job, body)
         return None
 
     def _cache_job(self, job: records.Job) -> None:
@@ -215,7 +238,7 @@
             )
             if body is not None:
                 self._owners_by_job[job.id] = member.name
-                return msgspec.msgpack.decode(body, type=owner_api.Listing)
+                return _decode(_decode_listing, body)
         self._owners_by_job.pop(job.id, None)
         return await self._read_from_store(job, after, wait_until)
 
@@ -227,7 +250,7 @@
             record = await _read(self._store, key)
             head = records.Head()
             if record is not None:
-                head = records.decode_head(record.value)
+                head = _decode(records.decode_head, record.value)
             is_over = head.is_closed or deadlines.is_past(wait_until)
             if head.count() > after or is_over:
                 break
@@ -244,7 +267,9 @@
         for part, end in enumerate(head.ends):
             if end > after:
                 key = records.get_results_key(job.id, part)
-                committed = records.decode_results(await self._read_value(key))
+                committed = _decode(
+                    records.decode_results, await self._read_value(key)
+                )
                 found.extend(committed[max(0, after - start) :])
                 selected = owner_api.select_page(found, 0)
                 if len(selected) < len(found):
@@ -260,7 +285,7 @@
         """
         for part in range(job.parts):
             value = await self._read_value(records.get_items_key(job.id, part))
-            for one in records.decode_items(value):
+            for one in _decode(records.decode_items, value):
                 if one.id == item:
                     return one.body
         return None
--- a/eelgrassgate/batches/submission.py
+++ b/eelgrassgate/batches/submission.py
@@ -95,7 +95,11 @@
         return SubmitResult(job, outcome, commit.revision)
     for record in commit.found:
         if record.key == key:
-            known = records.decode_job(record.value)
+            try:
+                known = records.decode_job(record.value)
+            except msgspec.MsgspecError as error:
+                logs.log_message("job:invalid", job=call.id, reason=str(error))
+                return SubmitResult(job, Outcome.UNKNOWN)
             is_same = known.workspace == workspace
             outcome = Outcome.DONE if is_same else Outcome.CONFLICT
             return SubmitResult(known, outcome)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -14,6 +14,8 @@
 from eelgrassgate import logs
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
+from eelgrassgate.batches import results
+from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
@@ -203,6 +205,34 @@
         self.assertEqual(found["i0"].state, records.COMPLETED)
         self.assertLessEqual(opened_names, {"j", test_batches.JOB})
 
+    async def test_reads_of_odd_values_are_unavailable(self) -> None:
+        for prefix, suffix in (
+            (records.JOBS, ""),
+            (records.HEADS, ""),
+            (records.ITEMS, "/0"),
+            (records.RESULTS, "/0"),
+        ):
+            async with test_batches.open_harness() as harness:
+                await test_batches.submit(harness.store, 1)
+                await harness.read_all()
+                key = f"{prefix}{test_batches.JOB}{suffix}"
+                for value in (b"", b"\xff", DEEP_ARRAY, DEEP_MSGPACK):
+                    await write(harness.store, key, value)
+                    reader = test_batches.make_reader(harness.store)
+                    with (
+                        self.subTest(prefix, value=value[:4]),
+                        self.assertRaises(results.UnavailableError),
+                    ):
+                        job = await reader.find_job(
+                            test_batches.JOB, site_lib.WORKSPACE
+                        )
+                        assert job is not None
+                        await reader.read_results(job, 0, 0.0)
+                        await reader.find_item(job, "i0")
+                if prefix == records.JOBS:
+                    outcome = await test_batches.submit(harness.store, 1)
+                    self.assertIs(outcome, submission.Outcome.UNKNOWN)
+
     async def test_odd_calls_of_peers_do_not_end_the_process(self) -> None:
         (port,) = loopback.find_free_ports(1)
         server = relay.create_relay("127.0.0.1:9")
