Bound the numbers that callers send

What callers saw: one request whose Time-Remaining had some 400 digits ended the gateway, and all requests in hand there were cut. A read of a job's results at a position such as a superscript two or with 5,000 digits got no answer.

Cause: int() takes at most 4,300 digits, and dividing a large int by a float overflows. The header is read before the handler's guard, so the exception left the task group of the listener. str.isdigit accepts digits that int() does not.

Evidence: test_numbers_of_any_size_are_served failed before with OverflowError from that task group, on the first request; all later ones failed with it.

Change: dialect.parse_number reads decimal digits of any count, at most 1e12.

Ruled out: Content-Length, of which h11 takes 20 digits at most.

--- a/eelgrassgate/platform/batch_calls.py
+++ b/eelgrassgate/platform/batch_calls.py
@@ -45,9 +45,9 @@
         if call.path.startswith(JOBS_PATH):
             job = call.path.removeprefix(JOBS_PATH)
             if call.method == b"GET":
-                after = query.get("after", "0")
+                after = query.get("after", "").encode()
                 return batch_calls.ReadResults(
-                    job, int(after) if after.isdigit() else 0
+                    job, dialect.parse_number(after, 0)
                 )
             if call.method == b"DELETE":
                 return batch_calls.CancelJob(job)
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -38,6 +38,8 @@
 MS_PER_S: Final = 1000.0
 # Remaining time of a request without the header.
 DEFAULT_REMAINING_MS: Final = 30_000
+# Bound on numbers that callers send; 30 years in milliseconds.
+MAX_NUMBER: Final = 1e12
 
 # Headers of a single connection (RFC 9110, 7.6.1).
 HOP_BY_HOP: Final = frozenset(
@@ -72,7 +74,7 @@
         """Parse a request."""
         target = incoming.target.decode("latin-1")
         host = (incoming.get(b"host") or b"").decode("latin-1")
-        remaining = _parse_number(
+        remaining = parse_number(
             incoming.get(TIME_REMAINING), DEFAULT_REMAINING_MS
         )
         return calls.Call(
@@ -145,7 +147,7 @@
 
     def read_wait_s(self, incoming: downstream.IncomingRequest) -> float:
         """Return how many seconds a caller waits for a new result."""
-        return _parse_number(incoming.get(WAIT_TIME), 0) / MS_PER_S
+        return parse_number(incoming.get(WAIT_TIME), 0) / MS_PER_S
 
 
 def _filter_headers(
@@ -166,10 +168,13 @@
     )
 
 
-def _parse_number(value: bytes | None, default: int) -> int:
-    if value is None or not value.strip().isdigit():
+def parse_number(value: bytes | None, default: int) -> int:
+    """Parse a decimal number, at most `MAX_NUMBER`."""
+    digits = (value or b"").strip()
+    if not digits.isdigit():
         return default
-    return int(value)
+    # Unlike int(), float() takes any number of digits.
+    return int(min(float(digits), MAX_NUMBER))
 
 
 def _parse_limit(value: bytes | None) -> float | None:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -16,9 +16,11 @@
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
 from eelgrassgate.batches import submission
+from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
+from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import failures
@@ -27,6 +29,7 @@
 from eelgrassgate.peering import relay
 from eelgrassgate.peering import reports
 from eelgrassgate.platform import batch_calls as platform_batch_calls
+from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.quarantine import storage
@@ -150,6 +153,38 @@
             self.assertEqual(site.pool.opened, 6)
 
 
+class CallerNumberTest(unittest.IsolatedAsyncioTestCase):
+    async def test_numbers_of_any_size_are_served(self) -> None:
+        async with site_lib.open_site() as site:
+            for digits in ("9" * 400, "9" * 5000, "0" * 5000 + "5000"):
+                with self.subTest(digits[:10], count=len(digits)):
+                    response = await site_lib.call(
+                        site.address,
+                        "/plain/a",
+                        headers={"Time-Remaining": digits},
+                    )
+                    self.assertEqual(response.status, 200)
+            self.assertEqual(site.count_runs(), 3)
+
+    def test_positions_of_any_text_are_read(self) -> None:
+        for text, after in (
+            ("%C2%B2", 0),
+            ("-1", 0),
+            ("", 0),
+            ("12", 12),
+            ("9" * 5000, int(dialect.MAX_NUMBER)),
+        ):
+            call = dialect.PlatformDialect().read_call(
+                downstream.IncomingRequest(
+                    b"GET", f"/lots/j?after={text}".encode(), (), b"", 0.0
+                )
+            )
+            found = platform_batch_calls.PlatformBatchDialect().read_job_call(
+                call
+            )
+            self.assertEqual(found, batch_calls.ReadResults("j", after))
+
+
 class ItemTest(unittest.IsolatedAsyncioTestCase):
     async def test_items_that_http_can_not_express_stop_no_other(self) -> None:
         odd = {
