Take a keep-alive timeout of many digits for a long one

What callers saw: nothing, although the endpoint's response was complete: its Keep-Alive header named a timeout of 400 digits or more.

Cause: int() takes at most 4,300 digits, and subtracting a float from a large int overflows. The exception, which is no ExchangeError, came after the last byte of the body.

Evidence: both cases of the test failed before, with OverflowError and ValueError.

Change: the digits are parsed as a float, which takes any number of them.

--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -303,7 +303,8 @@
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
         if name.lower() == b"timeout" and seconds.isdigit():
-            return max(0.0, int(seconds) - KEEP_ALIVE_MARGIN_S)
+            # Unlike int(), float() takes any number of digits.
+            return max(0.0, float(seconds) - KEEP_ALIVE_MARGIN_S)
     return DEFAULT_KEEP_ALIVE_S
 
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import anyio
+from anyio import abc
 import msgspec
 
 from eelgrassgate import addresses
@@ -126,6 +127,36 @@
                     self.assertTrue(site.placement.is_in_backoff(odd.name))
 
 
+class KeepAliveTest(unittest.IsolatedAsyncioTestCase):
+    async def test_timeout_of_many_digits_spoils_no_response(self) -> None:
+        for digits in (b"9" * 400, b"9" * 5000):
+            answer = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=%s\r\n" % digits
+            answer += b"Content-Length: 2\r\n\r\nok"
+
+            async def serve(stream: Any, answer: bytes = answer) -> None:
+                await stream.receive()
+                await stream.send(answer)
+
+            async with (
+                await anyio.create_tcp_listener(
+                    local_host="127.0.0.1"
+                ) as listener,
+                anyio.create_task_group() as tasks,
+            ):
+                tasks.start_soon(listener.serve, serve)
+                port = listener.extra(abc.SocketAttribute.local_port)
+                request = upstream.Request(
+                    b"GET", b"/", ((b"host", b"a"),), b""
+                )
+                pool = upstream.create_pool(0.5)
+                with self.subTest(count=len(digits)):
+                    async with pool.use(f"127.0.0.1:{port}") as connection:
+                        await connection.start(request, lambda head: True)
+                        self.assertEqual(await connection.read_body(), b"ok")
+                await pool.close()
+                tasks.cancel_scope.cancel()
+
+
 class InvalidRequestTest(unittest.IsolatedAsyncioTestCase):
     async def test_nothing_is_sent_of_a_request_that_http_can_not_express(
         self,
