Forward no report of a peer that timed out

What operators saw: a process ended by itself, with a KeyError from the task that sends reports, after another process had been lost.

Cause: a datagram that arrives late or twice shows that its sender's datagrams arrive, but doesn't extend the peer's life, as its number is not newer. Until the former has expired, a third process that reported the lost one as missing was to get its last report, which was forgotten already.

Evidence: test_late_datagram_of_a_lost_peer_does_not_stop_reports failed before with KeyError: 'b'. It plays a late datagram half a timeout after the newest.

Change: only reports that are kept are forwarded.

--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -418,7 +418,8 @@
         return [
             self._peers_by_name[other].data
             for other in peer.report.missing_peers
-            if self.is_directly_reachable(other)
+            if other in self._peers_by_name
+            and self.is_directly_reachable(other)
             and self._is_forwarder(other, name)
         ]
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from eelgrassgate import addresses
+from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
@@ -361,6 +362,28 @@
                 self.assertEqual(found["i0"].text, test_batches.TEXT)
 
 
+class ReportTest(unittest.IsolatedAsyncioTestCase):
+    def test_late_datagram_of_a_lost_peer_does_not_stop_reports(self) -> None:
+        members = [
+            test_peering.make_member(name, port=port)
+            for port, name in enumerate("abc", 1)
+        ]
+        exchange, _ = test_peering.make_reports("a", *members)
+        now = 100.0
+        encode = msgspec.msgpack.encode
+        late = encode(test_peering.make_report("b", 1))
+        newest = encode(test_peering.make_report("b", 2))
+        other = encode(test_peering.make_report("c", missing_peers=("b",)))
+        with mock.patch.object(deadlines, "now", lambda: now):
+            exchange._handle_datagram(newest, members[1].address)
+            now += reports.PEER_TIMEOUT_S / 2
+            exchange._handle_datagram(late, members[1].address)
+            now += reports.PEER_TIMEOUT_S / 2
+            exchange._handle_datagram(other, members[2].address)
+            exchange.remove_timed_out()
+            self.assertEqual(exchange._list_missing_reports("c"), [])
+
+
 class MemberEntryTest(unittest.IsolatedAsyncioTestCase):
     async def test_reports_are_sent_on_beside_odd_members(self) -> None:
         ports = loopback.find_free_ports(2)
