Ignore reports with numbers out of bounds

What callers saw: after one datagram with an infinite number, a workspace was refused with a retry delay of nan, or requests that were placed at an endpoint whose limit it named got no answer. The largest version of a limit ended the process that counted on from it.

Cause: msgpack carries infinity, NaN, negative numbers and integers of 64 bits without a sign, and the report's types allowed all of them.

On that code, direct calls showed: a limit of inf or nan raises OverflowError or ValueError where the wait for the endpoint is computed, admissions of inf make admit() return nan for good, and the version after 2^64 - 1 raises OverflowError where the next report is encoded, in the task that sends them.

Change: the numbers of reports are decoding.Count or decoding.Amount, which are non-negative and bounded; a report outside of them is dropped like a malformed one. A limit in a response has the same bound, as it is reported on. Versions of limits above 2^53 are not adopted, so that others can follow.

Ruled out: names of unknown processes or endpoints in a report; they are looked up only, and forgotten with their sender.

--- a/eelgrassgate/gateway/endpoint_limits.py
+++ b/eelgrassgate/gateway/endpoint_limits.py
@@ -33,6 +33,8 @@
 MIN_RATE_PER_S: Final = 0.1
 # How often to determine the users of a limit again.
 CHECK_INTERVAL_S: Final = 0.5
+# Larger versions are not adopted, as no others could follow them.
+MAX_VERSION: Final = 2**53
 # How long peers are told that a limit was lifted.
 REPORT_LIFTED_S: Final = 10.0
 
@@ -208,8 +210,10 @@
         now = self._clock()
         for endpoint, (version, per_s) in report.limits_by_endpoint.items():
             known = self._limits_by_endpoint.get(endpoint)
-            if endpoint in self._endpoints and (
-                known is None or known.version < version
+            if (
+                endpoint in self._endpoints
+                and version <= MAX_VERSION
+                and (known is None or known.version < version)
             ):
                 self._set(endpoint, Limit(per_s, version, now), report.name)
 
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -53,9 +53,9 @@
         age_s: Seconds since then.
     """
 
-    version: int = 0
-    revision: int = 0
-    age_s: float = 0.0
+    version: decoding.Count = 0
+    revision: decoding.Count = 0
+    age_s: decoding.Amount = 0.0
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -86,17 +86,21 @@
     name: str
     incarnation: int
     number: int
-    uptime_s: float
-    online_by_endpoint: dict[str, int]
-    batch_by_endpoint: dict[str, int]
-    admitted_by_workspace: dict[str, float]
+    uptime_s: decoding.Amount
+    online_by_endpoint: dict[str, decoding.Count]
+    batch_by_endpoint: dict[str, decoding.Count]
+    admitted_by_workspace: dict[str, decoding.Amount]
     has_store: bool = True
     missing_peers: tuple[str, ...] = ()
-    failures_by_endpoint: dict[str, tuple[float, float]] = {}
+    failures_by_endpoint: dict[
+        str, tuple[decoding.Amount, decoding.Amount]
+    ] = {}
     is_leaving: bool = False
     config: ConfigStatus = ConfigStatus()
     quarantine: quarantine_lib.Report = quarantine_lib.Report()
-    limits_by_endpoint: dict[str, tuple[int, float | None]] = {}
+    limits_by_endpoint: dict[
+        str, tuple[decoding.Count, decoding.Amount | None]
+    ] = {}
 
 
 class Peer(msgspec.Struct):
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -5,6 +5,7 @@
 import urllib.parse
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.gateway import calls
 from eelgrassgate.http1 import downstream
@@ -185,7 +186,7 @@
         limit_per_s = float(value)
     except ValueError:
         limit_per_s = math.nan
-    if not (math.isfinite(limit_per_s) and limit_per_s >= 0.0):
+    if not 0.0 <= limit_per_s <= decoding.MAX_AMOUNT:
         logs.log_message("endpoint:limit_invalid", value=repr(value))
         return None
     return limit_per_s
--- a/eelgrassgate/quarantine/evidence.py
+++ b/eelgrassgate/quarantine/evidence.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from eelgrassgate import decoding
+
 # Consecutive ends after which a part is blamed if it explains all ends
 # meanwhile; if it explains a fraction of them, so many more are needed.
 MIN_ROUNDS: Final = 4
@@ -46,7 +48,7 @@
     part: str
     position: int
     request: int
-    lead_s: float
+    lead_s: decoding.Amount
     has_output: bool
 
 
--- a/eelgrassgate/quarantine/quarantine.py
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.quarantine import evidence
 
@@ -43,7 +44,7 @@
     """The end of an endpoint `age_s` seconds ago."""
 
     endpoint: str
-    age_s: float
+    age_s: decoding.Amount
     exposures: tuple[evidence.Exposure, ...]
 
 
@@ -58,8 +59,8 @@
     """
 
     ends: tuple[EndReport, ...] = ()
-    answer_age_s_by_part: dict[str, float] = {}
-    remaining_s_by_part: dict[str, float] = {}
+    answer_age_s_by_part: dict[str, decoding.Amount] = {}
+    remaining_s_by_part: dict[str, decoding.Amount] = {}
 
 
 class Run(msgspec.Struct, frozen=True):
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import json
+import math
 from typing import Any
 from typing import Final
 import unittest
@@ -13,6 +14,7 @@
 
 from eelgrassgate import addresses
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
@@ -33,6 +35,7 @@
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
+from eelgrassgate.quarantine import evidence
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.quarantine import storage
 from eelgrassgate.standins import endpoint
@@ -363,6 +366,68 @@
 
 
 class ReportTest(unittest.IsolatedAsyncioTestCase):
+    def test_reports_with_odd_numbers_are_ignored(self) -> None:
+        floats = (math.nan, math.inf, -math.inf, -1.0, 1e300)
+        counts = (-1, 2**64 - 1)
+        status = reports.ConfigStatus
+        exposure = evidence.Exposure("p", 0, 1, 0.0, False)
+
+        def make_end(value: float) -> quarantine_lib.EndReport:
+            return quarantine_lib.EndReport("e", value, (exposure,))
+
+        fields: dict[str, list[Any]] = {
+            "uptime_s": list(floats),
+            "online_by_endpoint": [{"e": one} for one in counts],
+            "batch_by_endpoint": [{"e": one} for one in counts],
+            "admitted_by_workspace": [{"w": one} for one in floats],
+            "failures_by_endpoint": [
+                {"e": pair}
+                for one in (*floats, -3.0)
+                for pair in ((one, 1.0), (1.0, one))
+            ],
+            "config": [
+                *(status(one, 1, 0.0) for one in counts),
+                *(status(1, one, 0.0) for one in counts),
+                *(status(1, 1, one) for one in floats),
+            ],
+            "quarantine": [
+                one
+                for value in floats
+                for one in (
+                    quarantine_lib.Report((make_end(value),)),
+                    quarantine_lib.Report((), {"p": value}),
+                    quarantine_lib.Report((), {}, {"p": value}),
+                )
+            ],
+            "limits_by_endpoint": [
+                *({"e": (one, 1.0)} for one in counts),
+                *({"e": (1, one)} for one in floats),
+            ],
+        }
+        exchange, _ = test_peering.make_reports(
+            "a", test_peering.make_member("a")
+        )
+        for field, values in fields.items():
+            for value in values:
+                report = test_peering.make_report("b", **{field: value})
+                with self.subTest(field, value=value):
+                    exchange._handle_datagram(
+                        msgspec.msgpack.encode(report), "127.0.0.1:1"
+                    )
+                    self.assertFalse(exchange.is_alive("b"))
+
+    def test_largest_version_of_a_limit_is_not_adopted(self) -> None:
+        limits = site_lib.make_endpoint_limits()
+        limits.retain_endpoints(["e"])
+        largest = decoding.MAX_COUNT
+        limits.handle_report(
+            test_peering.make_report(
+                "b", limits_by_endpoint={"e": (largest, 1.0)}
+            )
+        )
+        limits.record_response("e", 2.0, deadlines.now())
+        self.assertEqual(limits.list_limits(), {"e": (1, 2.0)})
+
     def test_late_datagram_of_a_lost_peer_does_not_stop_reports(self) -> None:
         members = [
             test_peering.make_member(name, port=port)
