Bound how long a part is quarantined by others

What callers saw: requests with a prompt part got no answer, or were refused for as long as the process lived, after an entry of the store or a report said that the part's quarantine ends at 1e308 s.

Cause: the end was taken as it came. Rounding the remaining milliseconds of the refusal overflows for such times.

Change: adopt() takes at most QUARANTINE_S from now, the longest that any process asks for.

--- a/eelgrassgate/quarantine/quarantine.py
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -218,9 +218,11 @@
 
         Args:
             part: Id of the part.
-            until: Monotonic time at which the quarantine ends.
+            until: Monotonic time at which the quarantine ends; at the latest
+                `QUARANTINE_S` from now.
             source: Where this process learned of it.
         """
+        until = min(until, self._clock() + QUARANTINE_S)
         if part in self.until_by_part or until <= self._clock():
             return
         answered_at = self._answered_at_by_part.get(part, float("-inf"))
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -131,6 +131,29 @@
                     self.assertTrue(site.placement.is_in_backoff(odd.name))
 
 
+class QuarantineEntryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_quarantine_lasts_longer_than_its_bound(self) -> None:
+        parts = (b"5c1e:800", b"91bd:410")
+        bound_s = quarantine_lib.QUARANTINE_S
+        for until in (1e12, 1e308):
+            with self.subTest(until):
+                store = memory.create_memory_store()
+                entry = storage.Entry("5c1e", until)
+                key = f"{storage.PREFIX}5c1e"
+                await write(store, key, msgspec.json.encode(entry))
+                async with site_lib.open_site() as site:
+                    kept = storage.create_storage(store, site.quarantine)
+                    self.assertTrue(await kept._read())
+                    remaining_s = site.quarantine.compute_remaining("5c1e")
+                    self.assertLessEqual(remaining_s, bound_s)
+                    response = await site_lib.call(
+                        site.address,
+                        "/plain/a",
+                        headers={"Prompt-Prefix": b",".join(parts).decode()},
+                    )
+                    self.assertEqual(response.status, 503)
+
+
 class KeepAliveTest(unittest.IsolatedAsyncioTestCase):
     async def test_timeout_of_many_digits_spoils_no_response(self) -> None:
         for digits in (b"9" * 400, b"9" * 5000):
