Ignore requests to retire an instance without a usable name

What operators saw: after a request for an instance with an empty or very long name, no instance without a process was reported as retired any more.

Cause: the batch process that reports such instances writes them one after the other, each until the store takes it. The store rejects a key of more than 200 bytes for good, and the key of the report is longer than that of the request.

Change: a request whose name is empty or too long for the report's key is invalid, which is logged.

Ruled out: durations. JSON holds neither NaN nor infinity, and a number out of range does not decode; a negative one is over at once, a large finite one waits for the items in hand.

--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -23,10 +23,13 @@
 
 MS_PER_S: Final = 1000.0
 
+MAX_KEY_BYTES: Final = 200
+# Longest name of an instance whose retirement can be reported.
+MAX_INSTANCE_BYTES: Final = MAX_KEY_BYTES - len(RETIREMENT_STATUS_PREFIX)
 MAX_SLOTS: Final = 1_000_000
 MAX_INT64: Final = 2**63 - 1
-# The id of an endpoint is sent in a header. Keys have at most 200 bytes.
-_ENDPOINT_ID: Final = re.compile(r"[^\x00-\x20\x7f]{1,200}")
+# The id of an endpoint is sent in a header.
+_ENDPOINT_ID: Final = re.compile(rf"[^\x00-\x20\x7f]{{1,{MAX_KEY_BYTES}}}")
 _STATES: Final = frozenset({"ready", "draining"})
 _Int64 = Annotated[int, msgspec.Meta(ge=-MAX_INT64, le=MAX_INT64)]
 
@@ -211,15 +214,16 @@
     """
     if not key.startswith(RETIREMENT_PREFIX):
         return None
+    name = key.removeprefix(RETIREMENT_PREFIX)
+    if not 0 < len(name.encode()) <= MAX_INSTANCE_BYTES:
+        logs.log_message("retirement:invalid", key=key, reason="invalid name")
+        return None
     try:
         retirement = decoding.decode(_RETIREMENT_DECODER, value)
     except msgspec.MsgspecError as error:
         logs.log_message("retirement:invalid", key=key, reason=str(error))
         return None
-    return discovery.Retirement(
-        key.removeprefix(RETIREMENT_PREFIX),
-        deadlines.after(retirement.duration_s),
-    )
+    return discovery.Retirement(name, deadlines.after(retirement.duration_s))
 
 
 def encode_retirement_status(
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -11,6 +11,7 @@
 import anyio
 from anyio import abc
 import msgspec
+from returns import result
 
 from eelgrassgate import addresses
 from eelgrassgate import deadlines
@@ -44,6 +45,7 @@
 from eelgrassgate.store import mirror
 from tests import loopback
 from tests import site as site_lib
+from tests import test_batch_daemon
 from tests import test_batches
 from tests import test_peering
 from tests import test_platform
@@ -131,6 +133,45 @@
                     self.assertTrue(site.placement.is_in_backoff(odd.name))
 
 
+class RetirementTest(unittest.IsolatedAsyncioTestCase):
+    def test_odd_retirements_are_ignored(self) -> None:
+        sound = b'{"duration-s": 9}'
+        for key, value in (
+            ("op/retire/", sound),
+            ("op/retire/" + "a" * 190, sound),
+            ("op/retire/" + "\u2603" * 63, sound),
+            ("op/retire/a", b'{"duration-s": 1e400}'),
+            ("op/retire/a", b'{"duration-s": NaN}'),
+            ("op/retire/a", b'{"duration-s": "9"}'),
+        ):
+            with self.subTest(key[:20], value=value):
+                self.assertIsNone(documents.decode_retirement(key, value))
+
+    async def test_odd_name_keeps_no_other_retirement_from_its_report(
+        self,
+    ) -> None:
+        store = test_batch_daemon.make_store()
+        commit = store.commit
+
+        async def reject_long_keys(transaction: base.Transaction) -> Any:
+            if any(len(one.key) > 200 for one in transaction.changes):
+                fault = base.Fault.NOT_DONE
+                return result.Failure(base.StoreError(fault, "status 400"))
+            return await commit(transaction)
+
+        sound = msgspec.json.encode({"duration-s": 3.0})
+        # Instances are reported one by one, in no order.
+        names = [f"none-{number}" for number in range(8)]
+        for name in ("a" * 190, *names):
+            await write(store, f"op/retire/{name}", sound)
+        store.commit = reject_long_keys
+        async with test_batch_daemon.open_batches(store, "a"):
+            with anyio.fail_after(TIMEOUT_S):
+                for name in names:
+                    while not await test_batch_daemon.read_state(store, name):
+                        await anyio.sleep(0.02)
+
+
 class QuarantineEntryTest(unittest.IsolatedAsyncioTestCase):
     async def test_no_quarantine_lasts_longer_than_its_bound(self) -> None:
         parts = (b"5c1e:800", b"91bd:410")
