Ignore configurations with numbers or names out of bounds

What callers would see: with weights that are negative or whose sum is infinite, each request of the route ends as an internal error without an answer; with a time of 1e308 ms, each one whose remaining time is computed; with a workspace whose name holds a line feed, each one of the workspace. A version beyond 64 bits can't be encoded in reports, which ends the process.

Cause: the decoder checked types only. Not seen in operation: the key-value service accepts valid configurations only. Peers pass the same bytes on.

Evidence: 12 configurations were decoded before that are ignored now. Names with inner blanks or letters outside of ASCII are still read.

Change: numbers are decoding.Amount, decoding.Count or of 64 bits, and names of workspaces are what a header can hold. An invalid configuration is logged (config:invalid) and the one before stays in force, as with a malformed one.

--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -30,6 +30,10 @@
 MAX_INT64: Final = 2**63 - 1
 # The id of an endpoint is sent in a header.
 _ENDPOINT_ID: Final = re.compile(rf"[^\x00-\x20\x7f]{{1,{MAX_KEY_BYTES}}}")
+# No control characters, and no blank at either end (RFC 9110, 5.5).
+_HEADER_VALUE: Final = (
+    r"^(?:[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?\Z"
+)
 _STATES: Final = frozenset({"ready", "draining"})
 _Int64 = Annotated[int, msgspec.Meta(ge=-MAX_INT64, le=MAX_INT64)]
 
@@ -43,7 +47,7 @@
 
 class _Split(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: decoding.Amount
 
 
 class _Route(msgspec.Struct, frozen=True, rename="kebab"):
@@ -53,41 +57,42 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float = 0.0
-    target_latency_ms: float = 0.0
-    max_attempts: int = 1
-    priority: int = 0
+    timeout_ms: decoding.Amount = 0.0
+    target_latency_ms: decoding.Amount = 0.0
+    max_attempts: _Int64 = 1
+    priority: _Int64 = 0
     allow_anonymous: bool = False
     allow_resume: bool = False
     service: str | None = None
     traffic_split: list[_Split] = []
-    completion_target_ms: float = 0.0
-    retention_s: float = 0.0
+    completion_target_ms: decoding.Amount = 0.0
+    retention_s: decoding.Amount = 0.0
 
 
 class _Service(msgspec.Struct, frozen=True, rename="kebab"):
     name: str
-    max_connections: int = 0
+    max_connections: _Int64 = 0
     engine: dict[str, Any] | None = None
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
-    name: str
+    # Sent in a header.
+    name: Annotated[str, msgspec.Meta(pattern=_HEADER_VALUE)]
     api_keys: list[str] = []
-    rate_per_s: float = 0.0
-    burst: float = 0.0
-    priority: int | None = None
+    rate_per_s: decoding.Amount = 0.0
+    burst: decoding.Amount = 0.0
+    priority: _Int64 | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 5_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: decoding.Count = 16_384
+    max_body_bytes: decoding.Count = 4_194_304
+    header_timeout_ms: decoding.Amount = 5_000.0
+    idle_timeout_ms: decoding.Amount = 15_000.0
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: decoding.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -133,6 +133,45 @@
                     self.assertTrue(site.placement.is_in_backoff(odd.name))
 
 
+class ConfigTest(unittest.TestCase):
+    def test_configurations_out_of_bounds_are_ignored(self) -> None:
+        config = test_platform.CONFIG
+        route, tenant = config["routes"][0], config["tenants"][0]
+
+        def make_split(*weights: float) -> dict[str, Any]:
+            split = [{"service": "s", "weight": one} for one in weights]
+            return {"routes": [{**route, "traffic-split": split}]}
+
+        for name, change in (
+            ("negative weights", make_split(1.0, -1.0)),
+            ("weights whose sum is infinite", make_split(1e308, 1e308)),
+            ("large version", {"version": 2**80}),
+            ("negative version", {"version": -1}),
+            ("timeout", {"routes": [{**route, "timeout-ms": 1e308}]}),
+            ("retention", {"routes": [{**route, "retention-s": 1e308}]}),
+            ("attempts", {"routes": [{**route, "max-attempts": 10**400}]}),
+            ("rate", {"tenants": [{**tenant, "rate-per-s": -1.0}]}),
+            ("line feed", {"tenants": [{**tenant, "name": "a\nb"}]}),
+            ("line feed at the end", {"tenants": [{**tenant, "name": "a\n"}]}),
+            ("blank at the end", {"tenants": [{**tenant, "name": "a "}]}),
+            ("idle timeout", {"limits": {"idle-timeout-ms": -1.0}}),
+        ):
+            with self.subTest(name):
+                value = json.dumps({**config, **change}).encode()
+                self.assertIsNone(documents.decode_config(value))
+
+    def test_usual_names_and_numbers_are_read(self) -> None:
+        config = test_platform.CONFIG
+        tenant = config["tenants"][0]
+        for name in ("", "a", "a b", "caf\u00e9", "\u2603"):
+            with self.subTest(name):
+                changed = {"tenants": [{**tenant, "name": name, "burst": 0}]}
+                value = json.dumps({**config, **changed}).encode()
+                found = documents.decode_config(value)
+                assert found is not None
+                self.assertIn(name, found.workspaces_by_name)
+
+
 class RetirementTest(unittest.IsolatedAsyncioTestCase):
     def test_odd_retirements_are_ignored(self) -> None:
         sound = b'{"duration-s": 9}'
