Treat values of the key-value service that are no base64 as a failure

What operators would see: an answer with a value of a wrong length ended the process, as binascii.Error left the task that follows the store; one with other characters was read as an empty value. Not seen in operation.

Evidence: the test failed before, with binascii.Error and with three calls that took "*" for an empty value.

Change: values are decoded with the rest of the answer, so that an invalid one makes the call fail like any malformed answer; it is tried again. Times to live that are negative or out of range fail too; a number of 400 digits overflowed.

--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -85,11 +85,11 @@
 
 
 class _Item(msgspec.Struct, frozen=True):
-    """A key-value pair; `value` is base64-encoded."""
+    """A key-value pair; `value` is base64-encoded in JSON."""
 
     key: str
     revision: int
-    value: str = ""
+    value: bytes = b""
     lease: int = 0
     deleted: bool = False
 
@@ -124,17 +124,16 @@
 class _LeaseResponse(msgspec.Struct, frozen=True):
     """A lease; the response to a renewal holds only the time to live."""
 
-    ttl_ms: int = msgspec.field(name="ttl-ms")
+    ttl_ms: decoding.Count = msgspec.field(name="ttl-ms")
     lease: int = 0
 
 
 def _to_record(item: _Item) -> base.Record:
-    value = base64.b64decode(item.value)
-    return base.Record(item.key, value, item.revision, item.lease)
+    return base.Record(item.key, item.value, item.revision, item.lease)
 
 
 def _to_change(item: _Item) -> base.Change:
-    value = None if item.deleted else base64.b64decode(item.value)
+    value = None if item.deleted else item.value
     return base.Change(item.key, value, item.revision)
 
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -12,6 +12,10 @@
 from anyio import abc
 import msgspec
 from returns import result
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
 
 from eelgrassgate import addresses
 from eelgrassgate import deadlines
@@ -36,6 +40,7 @@
 from eelgrassgate.platform import batch_calls as platform_batch_calls
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
+from eelgrassgate.platform import kv
 from eelgrassgate.quarantine import evidence
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.quarantine import storage
@@ -133,6 +138,43 @@
                     self.assertTrue(site.placement.is_in_backoff(odd.name))
 
 
+class KvAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_odd_answers_of_the_store_are_failures(self) -> None:
+        body = b""
+
+        async def answer(request: requests.Request) -> responses.Response:
+            await request.body()
+            return responses.Response(body)
+
+        item = {"key": "a", "revision": 1, "store-revision": 1}
+        bodies = [b"", b"\xff", DEEP_ARRAY]
+        for value in ("*", "YQ", "\u2603", 1):
+            odd = {**item, "value": value}
+            document = {**odd, "items": [odd], "events": [odd]}
+            bodies.append(json.dumps(document).encode())
+        app = applications.Starlette(
+            routes=[routing.Route("/{path:path}", answer)]
+        )
+        async with loopback.serve(app) as url:
+            store = kv.create_kv_store(url.removeprefix("http://"))
+            for body in bodies:
+                watch: Any = store.watch("a", 1)
+                for answered in (
+                    await store.read("a"),
+                    await store.read_range("a"),
+                    await anext(watch),
+                ):
+                    with self.subTest(body[:60]):
+                        self.assertIsInstance(answered, result.Failure)
+                await watch.aclose()
+            for number in (b"-1", b"1e3", b"9" * 400):
+                body = b'{"ttl-ms":' + number + b"}"
+                self.assertIsInstance(
+                    await store.grant_lease(1.0), result.Failure
+                )
+            await store.close()
+
+
 class ConfigTest(unittest.TestCase):
     def test_configurations_out_of_bounds_are_ignored(self) -> None:
         config = test_platform.CONFIG
