Resume a stream after an event whose id is no UTF-8

What callers saw: a stream that broke off after such an event ended as an internal error, although another endpoint could have resumed it.

Cause: events are decoded with surrogate escapes; the header was encoded without them.

Evidence: the case of the test with the byte 0xff failed before with UnicodeEncodeError.

Change: the id is sent back with the bytes that the endpoint sent.

--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -109,7 +109,9 @@
         headers = list(call.headers)
         if attempt.resume_after is not None:
             headers = [one for one in headers if one[0] != LAST_EVENT_ID]
-            headers.append((LAST_EVENT_ID, attempt.resume_after.encode()))
+            # As in the event; see `events.Splitter`.
+            last_id = attempt.resume_after.encode("utf-8", "surrogateescape")
+            headers.append((LAST_EVENT_ID, last_id))
         headers.append((TIME_REMAINING, b"%d" % max(1, remaining_ms)))
         headers.append((EXPECT_INSTANCE, attempt.endpoint.encode()))
         if attempt.workspace:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -30,6 +30,7 @@
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
 from eelgrassgate.http1 import downstream
+from eelgrassgate.http1 import events
 from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import failures
@@ -333,6 +334,21 @@
             self.assertEqual(site.pool.opened, 6)
 
 
+class ResumptionTest(unittest.TestCase):
+    def test_event_id_of_any_bytes_is_sent_back(self) -> None:
+        speech = dialect.PlatformDialect()
+        call = speech.read_call(
+            downstream.IncomingRequest(b"GET", b"/", (), b"", 0.0)
+        )
+        for last_id in (b"7", "\u2603".encode(), b"\xff7"):
+            with self.subTest(last_id):
+                (event,) = events.Splitter().feed(b"id: %s\n\n" % last_id)
+                request = speech.write_attempt(
+                    call, calls.Attempt("e", "", 0.0, event.id)
+                )
+                self.assertIn((b"last-event-id", last_id), request.headers)
+
+
 class CallerNumberTest(unittest.IsolatedAsyncioTestCase):
     async def test_numbers_of_any_size_are_served(self) -> None:
         async with site_lib.open_site() as site:
