Treat deep values as invalid in the product's own interface too

The same cause as in the processes of the users' platform: msgspec raises RecursionError for values that nest too deeply, and only its own errors were handled. Messages between processes, stored records and the list of instances were affected.

Change: they are decoded with decoding.decode.

--- a/eelgrassgate/config/records.py
+++ b/eelgrassgate/config/records.py
@@ -14,6 +14,7 @@
 import msgspec
 import xxhash
 
+from eelgrassgate import decoding
 from eelgrassgate.config import fleet as fleet_lib
 
 PREFIX: Final = "/eelgrassgate/config/"
@@ -149,7 +150,7 @@
         kind_type = _TYPES_BY_KIND[kind]
     except KeyError:
         raise msgspec.ValidationError(f"unknown kind `{kind}`") from None
-    return msgspec.json.decode(value, type=kind_type)
+    return decoding.decode(msgspec.json.Decoder(kind_type), value)
 
 
 def split_fleet(fleet: fleet_lib.Fleet) -> dict[str, bytes]:
--- a/eelgrassgate/instances/endpointslice.py
+++ b/eelgrassgate/instances/endpointslice.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import decoding
 from eelgrassgate import response_limits
 from eelgrassgate.instances import base
 from eelgrassgate.instances import slices
@@ -25,6 +26,10 @@
 WATCH_DURATION_S: Final = 10
 WATCH_GRACE_S: Final = 2.0
 DEFAULT_NAMESPACE: Final = "default"
+_LIST_DECODER: Final = msgspec.json.Decoder(slices.SliceList)
+_EVENT_DECODER: Final = msgspec.json.Decoder(slices.Event)
+_SLICE_DECODER: Final = msgspec.json.Decoder(slices.Slice)
+_STATUS_DECODER: Final = msgspec.json.Decoder(slices.Status)
 
 
 class _WatchError(Exception):
@@ -106,7 +111,7 @@
                 )
             response.raise_for_status()
             return result.Success(
-                msgspec.json.decode(response.content, type=slices.SliceList)
+                decoding.decode(_LIST_DECODER, response.content)
             )
         except (TimeoutError, httpx.HTTPError, msgspec.DecodeError) as error:
             return result.Failure(base.ListError(_describe(error)))
@@ -137,7 +142,7 @@
                         line = await anext(lines)
                 except StopAsyncIteration:
                     return
-                yield msgspec.json.decode(line, type=slices.Event)
+                yield decoding.decode(_EVENT_DECODER, line.encode())
 
 
 def _build_params(service: str) -> dict[str, str]:
@@ -153,9 +158,9 @@
         _WatchError: The event is an error.
     """
     if event.type == slices.ERROR:
-        status = msgspec.json.decode(event.object, type=slices.Status)
+        status = decoding.decode(_STATUS_DECODER, event.object)
         raise _WatchError(status.message or f"code {status.code}")
-    item = msgspec.json.decode(event.object, type=slices.Slice)
+    item = decoding.decode(_SLICE_DECODER, event.object)
     if event.type == slices.DELETED:
         slices_by_name.pop(item.metadata.name, None)
     elif event.type != slices.BOOKMARK:
--- a/eelgrassgate/jobs/records.py
+++ b/eelgrassgate/jobs/records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from eelgrassgate import decoding
 from eelgrassgate import outcomes
 
 
@@ -206,4 +207,4 @@
     Raises:
         msgspec.MsgspecError: The record is malformed.
     """
-    return msgspec.json.decode(data, type=kind)
+    return decoding.decode(msgspec.json.Decoder(kind), data)
--- a/eelgrassgate/membership/roster.py
+++ b/eelgrassgate/membership/roster.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from eelgrassgate import decoding
+
 ROSTER_KEY: Final = "/eelgrassgate/members"
 REGISTRATIONS_PREFIX: Final = "/eelgrassgate/registrations/"
 
@@ -76,7 +78,7 @@
     Raises:
         msgspec.DecodeError: The value is not a roster.
     """
-    return _DECODER.decode(value)
+    return decoding.decode(_DECODER, value)
 
 
 def format_registration(name: str) -> str:
--- a/eelgrassgate/messages.py
+++ b/eelgrassgate/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from eelgrassgate import decoding
 from eelgrassgate import outcomes
 
 VERSION: Final = 1
@@ -461,7 +462,7 @@
         BadMessageError: The data is not a message of this version.
     """
     try:
-        message = _DECODER.decode(data)
+        message = decoding.decode(_DECODER, data)
     except msgspec.DecodeError as error:
         raise BadMessageError(str(error)) from error
     if message.v != VERSION:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -21,10 +21,12 @@
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
+from eelgrassgate import messages
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
 from eelgrassgate.batches import submission
+from eelgrassgate.config import records as config_records
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
@@ -33,6 +35,9 @@
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import upstream
+from eelgrassgate.instances import endpointslice
+from eelgrassgate.jobs import records as job_records
+from eelgrassgate.membership import roster
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
@@ -701,6 +706,43 @@
             ):
                 decode(value)
 
+    async def test_deep_values_of_the_own_interface_are_invalid(self) -> None:
+        deep = add_member({"a": 1}, DEEP_ARRAY)
+        for name, decode, error in (
+            ("message", messages.decode, messages.BadMessageError),
+            ("roster", roster.decode, msgspec.DecodeError),
+            (
+                "configuration",
+                lambda value: config_records.decode_value("limits/", value),
+                msgspec.DecodeError,
+            ),
+            (
+                "job",
+                lambda value: job_records.decode(value, job_records.Job),
+                msgspec.DecodeError,
+            ),
+        ):
+            value = deep
+            if name == "message":
+                # A map of three members instead of two.
+                value = b"\x83" + messages.encode(messages.Leave())[1:]
+                value += b"\xa1x" + DEEP_MSGPACK
+            with self.subTest(name), self.assertRaises(error):
+                decode(value)
+
+        async def answer(request: requests.Request) -> responses.Response:
+            return responses.Response(deep)
+
+        app = applications.Starlette(
+            routes=[routing.Route("/{path:path}", answer)]
+        )
+        async with loopback.serve(app) as url:
+            instances = endpointslice.create_endpointslice_list(url)
+            self.assertIsInstance(
+                await instances.read("engine"), result.Failure
+            )
+            await instances.close()
+
     def test_deep_report_is_ignored(self) -> None:
         exchange, _ = test_peering.make_reports(
             "a", test_peering.make_member("a")
