--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -18,7 +18,6 @@
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
-from eelgrassgate.http1 import idle_timeout
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.quarantine import quarantine as quarantine_lib
@@ -30,8 +29,8 @@
 # Time without data after which a resumable stream moves to another endpoint;
 # callers wait at least 2 s before they give up.
 STREAM_IDLE_TIMEOUT_S: Final = 1.2
-# Responses to idempotent requests are buffered up to this size so that an
-# incomplete one can be retried.
+# Responses other than streams are buffered up to this size, so that an
+# incomplete one can be retried or replaced by an error.
 MAX_BUFFERED_BYTES: Final = 262_144
 # No further attempt is made with less time remaining.
 MIN_REMAINING_S: Final = 0.02
@@ -41,6 +40,8 @@
 # certainly did not run the request. A separate bound is needed since failed
 # connections do not count as attempts.
 MAX_UNEXECUTED_TRIES: Final = 4
+# Delay before a request returns to an endpoint that was silent.
+RETURN_DELAY_S: Final = 0.1
 # Logged result of an attempt that the gateway cancelled.
 CANCELLED: Final = "stopped"
 
@@ -132,14 +133,23 @@
             downstream.ClientDisconnectedError: The caller disconnected.
         """
         progress = _Progress()
+        reason = "timeout"
         with anyio.move_on_after(deadlines.compute_remaining(call.deadline)):
-            await self._forward_with_retries(
-                call, route, workspace, responder, progress
-            )
-            return
-        if responder.has_begun:
-            raise IncompleteResponseError("request timed out")
-        await self._reply_failure(call, progress, responder, "timeout")
+            try:
+                await self._forward_with_retries(
+                    call, route, workspace, responder, progress
+                )
+                return
+            except (
+                IncompleteResponseError,
+                downstream.ClientDisconnectedError,
+            ):
+                raise
+            except Exception:
+                # The caller learns truthfully whether the request may have run.
+                logs.log_exception("internal error", id=call.id)
+                reason = "internal error"
+        await self._reply_failure(call, progress, responder, reason)
 
     async def _forward_with_retries(
         self,
@@ -152,6 +162,7 @@
         """Try endpoints until one responds or no retry is allowed."""
         service = _choose_service(route)
         excluded: set[str] = set()
+        begun_at: set[str] = set()
         while True:
             part = self._quarantine.find_quarantined(call.prompt_parts)
             if part is not None:
@@ -192,7 +203,16 @@
             if outcome is Result.DONE:
                 return
             excluded.add(choice.endpoint.id)
+            if outcome is Result.LOST:
+                begun_at.add(choice.endpoint.id)
             can_retry = _can_retry(route, outcome, progress, call.deadline)
+            if not can_retry and _can_return(
+                route, outcome, progress, call.deadline
+            ):
+                await anyio.sleep(RETURN_DELAY_S)
+                endpoints = self._placement.get_endpoints(service)
+                excluded = {one.id for one in endpoints} - begun_at
+                can_retry = len(excluded) < len(endpoints)
             if progress.has_endpoint_ended and self._quarantine.is_suspect(
                 call.prompt_parts
             ):
@@ -259,7 +279,7 @@
                         endpoint, run, self._quarantine, self._metrics
                     )
                 )
-        except TimeoutError:
+        except upstream.StalledError:
             reason = "idle timeout"
             self._placement.record_unreachable(endpoint)
         except anyio.get_cancelled_exc_class():
@@ -288,7 +308,7 @@
         self._metrics.count_attempt(endpoint.service, result.value)
         _record_result(progress, result)
         is_broken = responder.has_begun and result is not Result.DONE
-        if is_broken and not route.is_idempotent():
+        if is_broken and not _can_resume(route, responder):
             raise IncompleteResponseError(reason)
         return result
 
@@ -327,20 +347,18 @@
 
         Raises:
             upstream.ExchangeError: The exchange failed.
-            TimeoutError: The endpoint exceeded the idle timeout.
+            upstream.StalledError: The endpoint exceeded the idle timeout.
         """
         request = self._dialect.write_attempt(call, attempt)
         progress.is_in_flight = True
         sent_at = deadlines.now()
-        with idle_timeout.fail_when_idle(idle_timeout_s):
-            await connection.start(
-                request,
-                lambda head: (
-                    self._dialect.read_response_info(
-                        head, call.id
-                    ).is_for_request
-                ),
-            )
+        connection.stall_deadline = deadlines.after(idle_timeout_s)
+        await connection.start(
+            request,
+            lambda head: (
+                self._dialect.read_response_info(head, call.id).is_for_request
+            ),
+        )
         info = self._dialect.read_response_info(connection.head, call.id)
         if not info.is_misdirected:
             self._placement.endpoint_limits.record_response(
@@ -361,12 +379,9 @@
             return await self._forward_events(
                 connection, responder, progress, idle_timeout_s
             )
-        if route.is_idempotent():
-            return await self._forward_buffered(
-                connection, route, responder, progress, idle_timeout_s
-            )
-        await self._forward_chunks(connection, responder, progress)
-        return Result.DONE
+        return await self._forward_buffered(
+            connection, route, responder, progress, idle_timeout_s
+        )
 
     async def _forward_buffered(
         self,
@@ -376,29 +391,37 @@
         progress: _Progress,
         idle_timeout_s: float,
     ) -> Result:
-        """Buffer a response so that an incomplete one can be retried."""
+        """Forward a response at once when it is complete.
+
+        An incomplete one can be retried, or replaced by an error. Large
+        responses are forwarded as they arrive.
+        """
         parts: list[bytes] = []
         size = 0
         head = connection.head
         has_attempts_left = progress.attempts + 1 < route.max_attempts
-        can_retry = head.status in SERVER_ERROR_STATUSES and has_attempts_left
-        with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
-            async for part in connection.iterate():
-                if not can_retry:
-                    reset_timeout(idle_timeout_s)
-                progress.has_output = True
-                parts.append(part)
-                size += len(part)
-                if size > MAX_BUFFERED_BYTES and can_retry:
-                    raise upstream.ExchangeError(
-                        f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
-                    )
-                if size > MAX_BUFFERED_BYTES and not responder.has_begun:
-                    await self._begin_response(connection, responder)
-                if responder.has_begun:
-                    reset_timeout(idle_timeout.NO_TIMEOUT)
-                    await responder.send(b"".join(parts))
-                    parts.clear()
+        can_retry = (
+            head.status in SERVER_ERROR_STATUSES
+            and has_attempts_left
+            and route.is_idempotent()
+        )
+        connection.stall_deadline = deadlines.after(idle_timeout_s)
+        async for part in connection.iterate():
+            if not can_retry:
+                connection.stall_deadline = deadlines.after(idle_timeout_s)
+            progress.has_output = True
+            parts.append(part)
+            size += len(part)
+            if size > MAX_BUFFERED_BYTES and can_retry:
+                raise upstream.ExchangeError(
+                    f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
+                )
+            if size > MAX_BUFFERED_BYTES and not responder.has_begun:
+                await self._begin_response(connection, responder)
+            if responder.has_begun:
+                connection.stall_deadline = deadlines.NEVER
+                await responder.send(b"".join(parts))
+                parts.clear()
         if responder.has_begun:
             await responder.finish()
             return Result.DONE
@@ -416,25 +439,15 @@
     ) -> None:
         head = connection.head
         length = head.get(b"content-length")
+        if head.get(b"transfer-encoding") is not None:
+            # The chunks are the body, whatever the length says.
+            length = None
         await responder.begin(
             head.status,
             self._dialect.filter_response_headers(head),
             int(length) if length is not None else None,
         )
 
-    async def _forward_chunks(
-        self,
-        connection: upstream.Connection,
-        responder: downstream.Responder,
-        progress: _Progress,
-    ) -> None:
-        """Forward a response as it arrives."""
-        await self._begin_response(connection, responder)
-        async for part in connection.iterate():
-            progress.has_output = True
-            await responder.send(part)
-        await responder.finish()
-
     async def _forward_events(
         self,
         connection: upstream.Connection,
@@ -449,27 +462,26 @@
         the first endpoint.
         """
         splitter = events.Splitter()
-        with idle_timeout.fail_when_idle(idle_timeout_s) as reset_timeout:
-            async for part in connection.iterate():
-                try:
-                    complete_events = splitter.feed(part)
-                except events.EventTooLargeError as error:
-                    raise upstream.ExchangeError(str(error), True) from error
-                if not complete_events:
-                    continue
-                reset_timeout(idle_timeout_s)
-                progress.has_output = True
-                if not responder.has_begun:
-                    await responder.begin(
-                        connection.head.status,
-                        self._dialect.filter_response_headers(connection.head),
-                    )
-                await responder.send(
-                    b"".join(one.raw for one in complete_events)
-                )
-                progress.last_event = _find_last_id(
-                    complete_events, progress.last_event
+        connection.stall_deadline = deadlines.after(idle_timeout_s)
+        async for part in connection.iterate():
+            try:
+                complete_events = splitter.feed(part)
+            except events.EventTooLargeError as error:
+                raise upstream.ExchangeError(str(error), True) from error
+            if not complete_events:
+                continue
+            progress.has_output = True
+            if not responder.has_begun:
+                await responder.begin(
+                    connection.head.status,
+                    self._dialect.filter_response_headers(connection.head),
                 )
+            await responder.send(b"".join(one.raw for one in complete_events))
+            progress.last_event = _find_last_id(
+                complete_events, progress.last_event
+            )
+            # The time that the caller takes to read does not count.
+            connection.stall_deadline = deadlines.after(idle_timeout_s)
         if splitter.has_partial_event() or not responder.has_begun:
             raise upstream.ExchangeError("stream ended within an event", True)
         await responder.finish()
@@ -577,6 +589,34 @@
     return progress.attempts < route.max_attempts
 
 
+def _can_return(
+    route: catalog.Route,
+    result: Result,
+    progress: _Progress,
+    deadline: float,
+) -> bool:
+    """Return whether to try again where the request may have run in part.
+
+    `max_attempts` limits the number of different endpoints. One that was only
+    silent may go on, while the last of the others was full.
+    """
+    return (
+        result is Result.NOT_RUN
+        and route.is_idempotent()
+        and progress.may_have_run
+        and progress.unexecuted_tries <= MAX_UNEXECUTED_TRIES
+        and deadlines.compute_remaining(deadline)
+        > RETURN_DELAY_S + MIN_REMAINING_S
+    )
+
+
+def _can_resume(route: catalog.Route, responder: downstream.Responder) -> bool:
+    """Return whether another endpoint can continue a response."""
+    is_stream = route.kind is catalog.Kind.STREAM
+    has_events = is_stream and responder.status in SUCCESS_STATUSES
+    return has_events and route.is_resumable
+
+
 def _compute_idle_timeout(
     route: catalog.Route, progress: _Progress, deadline: float
 ) -> float:
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import traceback
 from typing import Final
 
 import msgspec
@@ -69,16 +68,19 @@
             logs.log_message(
                 "response truncated", id=call.id, reason=str(error)
             )
-        except downstream.ClientDisconnectedError:
-            raise
-        except Exception:
-            # A bug in handling one request must not stop the process.
-            responder.is_closing = True
-            logs.log_message(
-                "internal error",
-                id=call.id,
-                trace=traceback.format_exc()[-2_000:],
-            )
+        finally:
+            if not responder.has_begun:
+                logs.log_message(
+                    "request unanswered",
+                    id=call.id,
+                    has_disconnected=responder.has_disconnected(),
+                    version=self._read_catalog().version,
+                    took_ms=round(
+                        (deadlines.now() - incoming.received_at)
+                        * deadlines.MS_PER_S
+                    ),
+                )
+                self._metrics.count_unanswered(responder.has_disconnected())
 
     async def _handle_request(
         self,
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate.http1 import sockets
 
 READ_SIZE_BYTES: Final = 65_536
@@ -19,6 +20,7 @@
 MAX_READ_AHEAD_BYTES: Final = 65_536
 # Listen backlog; callers reconnect in bursts after a restart.
 BACKLOG: Final = 1024
+ACCEPT_RETRY_DELAY_S: Final = 0.05
 # How often a drain checks for idle connections.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # A connection is closed if the client does not read for this long.
@@ -85,10 +87,19 @@
         """Initialize for the request that was just read."""
         self._http = connection
         self._stream = stream
+        self._has_disconnected = False
         self.status = 0
         self.begun_at = 0.0
         self.is_closing = False
 
+    def has_disconnected(self) -> bool:
+        """Return whether the client has closed the connection."""
+        return self._has_disconnected
+
+    def record_disconnect(self) -> None:
+        """Record that the client has closed the connection."""
+        self._has_disconnected = True
+
     @property
     def has_begun(self) -> bool:
         """Whether the head of the response has been sent."""
@@ -105,15 +116,24 @@
         length: int | None = None,
     ) -> None:
         """Send the head; without a length the body is sent chunked."""
+        head = self._build_head(status, headers, length)
         self._record_begin(status)
+        await self._write_shielded(self._http.send(head))
+
+    def _build_head(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]],
+        length: int | None,
+    ) -> h11.Response:
         sent = list(headers)
         if length is not None:
             sent.append((b"content-length", b"%d" % length))
         if self.is_closing:
             sent.append((b"connection", b"close"))
-        reason = _get_reason(status)
-        head = h11.Response(status_code=status, headers=sent, reason=reason)
-        await self._write(self._http.send(head))
+        return h11.Response(
+            status_code=status, headers=sent, reason=_get_reason(status)
+        )
 
     async def send(self, data: bytes) -> None:
         """Send part of the body."""
@@ -138,17 +158,21 @@
         body: bytes = b"",
     ) -> None:
         """Send a complete response with a single write."""
+        head = self._build_head(status, headers, len(body))
         self._record_begin(status)
-        sent = [*headers, (b"content-length", b"%d" % len(body))]
-        if self.is_closing:
-            sent.append((b"connection", b"close"))
-        reason = _get_reason(status)
-        head = h11.Response(status_code=status, headers=sent, reason=reason)
         data = self._http.send(head) or b""
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        await self._write_shielded(data)
+
+    async def _write_shielded(self, data: bytes | None) -> None:
+        """Write although the handler is cancelled, up to the write timeout.
+
+        h11 counts the bytes as sent, so no other response could follow.
+        """
+        with anyio.CancelScope(shield=True):
+            await self._write(data)
 
     async def _write(self, data: bytes | None) -> None:
         if not data:
@@ -156,9 +180,13 @@
         try:
             with anyio.fail_after(WRITE_TIMEOUT_S):
                 await self._stream.send(data)
-        except (OSError, anyio.BrokenResourceError, TimeoutError) as error:
-            raise ClientDisconnectedError from error
-        except anyio.ClosedResourceError as error:
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            TimeoutError,
+        ) as error:
+            self.record_disconnect()
             raise ClientDisconnectedError from error
 
 
@@ -202,12 +230,26 @@
             return
         except anyio.ClosedResourceError:
             return
+        except Exception:
+            # A bug in handling one connection must not stop the process.
+            logs.log_exception("connection failed")
         finally:
             self.is_idle = False
-            await sockets.abort(self._stream)
+            is_cut = self._is_cut_without_framing()
+            close = sockets.reset if is_cut else sockets.abort
+            await close(self._stream)
+
+    def _is_cut_without_framing(self) -> bool:
+        """Return whether an orderly close would make a response look whole.
+
+        A body that is sent to an HTTP/1.0 client ends with its connection.
+        """
+        is_cut = self._http.our_state in {h11.SEND_BODY, h11.ERROR}
+        return is_cut and self._http.their_http_version == b"1.0"
 
     async def _reply_error(self, status: int) -> None:
         """Respond with an error to a request that can't be read."""
+        logs.log_message("request unreadable", status=status)
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         responder = Responder(self._http, self._stream)
@@ -288,6 +330,7 @@
         if self._is_closed:
             # The data arrived while the connection was being closed; the client
             # sees that its request was not accepted.
+            logs.log_message("request dropped on close", bytes=len(data))
             raise anyio.ClosedResourceError
         self._http.receive_data(data)
         return None
@@ -298,12 +341,16 @@
         responder = Responder(self._http, self._stream)
         responder.is_closing = self._is_closing()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_disconnect, tasks.cancel_scope)
+            tasks.start_soon(
+                self._watch_disconnect, responder, tasks.cancel_scope
+            )
             try:
                 await self._handle(incoming, responder)
-            except (ClientDisconnectedError, h11.LocalProtocolError):
-                # Nothing more can be sent on this connection.
+            except ClientDisconnectedError:
                 responder.is_closing = True
+            except Exception:
+                # A bug in handling one request must not stop the process.
+                await self._reply_internal_error(incoming, responder)
             tasks.cancel_scope.cancel()
         if self._http.our_state is not h11.DONE or responder.is_closing:
             return False
@@ -312,7 +359,25 @@
         self._http.start_next_cycle()
         return True
 
-    async def _watch_disconnect(self, scope: anyio.CancelScope) -> None:
+    async def _reply_internal_error(
+        self, incoming: IncomingRequest, responder: Responder
+    ) -> None:
+        """Respond to a request whose handler failed; it may have run."""
+        logs.log_exception(
+            "internal error", target=incoming.target.decode("latin-1")
+        )
+        responder.is_closing = True
+        if responder.has_begun:
+            return
+        try:
+            await responder.reply(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+        except (ClientDisconnectedError, h11.LocalProtocolError):
+            # Nothing more can be sent on this connection.
+            return
+
+    async def _watch_disconnect(
+        self, responder: Responder, scope: anyio.CancelScope
+    ) -> None:
         """Cancel the handler when the client disconnects."""
         while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
             try:
@@ -324,6 +389,7 @@
                 OSError,
             ):
                 self._has_received_eof = True
+                responder.record_disconnect()
                 scope.cancel()
                 return
             self._read_ahead.extend(data)
@@ -404,7 +470,15 @@
             local_host=host, local_port=int(port), backlog=BACKLOG
         ) as listener:
             task_status.started(listener.extra(abc.SocketAttribute.local_port))
-            await listener.serve(self._serve_one, self.tasks)
+            while True:
+                try:
+                    await listener.serve(self._serve_one, self.tasks)
+                except* OSError as errors:
+                    # Out of descriptors, or the client reset before `accept`.
+                    logs.log_message(
+                        "accept failed", reason=str(errors.exceptions)
+                    )
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
     async def run(
         self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -34,6 +34,7 @@
 # Bound on a response that is read as a whole; several of the largest values of
 # the key-value service.
 MAX_RESPONSE_BYTES: Final = 8_388_608
+SUCCESS_STATUSES: Final = range(200, 300)
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -80,6 +81,10 @@
         super().__init__(message, False)
 
 
+class StalledError(Exception):
+    """The peer sent nothing useful until `Connection.stall_deadline`."""
+
+
 _CONNECTION_ERRORS: Final = (
     OSError,
     h11.RemoteProtocolError,
@@ -99,6 +104,9 @@
 
     Attributes:
         on_receive: Called whenever data is received.
+        stall_deadline: Monotonic time at which the peer counts as stalled. Only
+            waiting for data ends then, so the user of the connection moves it
+            whenever the exchange has made progress.
         head: Head of the current response.
     """
 
@@ -108,6 +116,7 @@
         self.idle_until = 0.0
         self.is_reusable = False
         self.on_receive: Callable[[], None] = _do_nothing
+        self.stall_deadline = deadlines.NEVER
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._received_bytes = 0
@@ -124,19 +133,22 @@
         Raises:
             InvalidRequestError: The request can't be sent.
             ExchangeError: The connection failed before the head was received.
+            StalledError: `stall_deadline` passed before.
         """
         self.is_reusable = False
         try:
             data = _write_request(self._http, request)
         except h11.LocalProtocolError as error:
             raise InvalidRequestError(str(error)) from error
-        failure: ExchangeError | None = None
+        failure: ExchangeError | StalledError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send, data)
             try:
                 await self._read_head(request, is_expected)
             except _CONNECTION_ERRORS as error:
                 failure = _convert_error(error)
+            except StalledError as error:
+                failure = error
             # The peer may respond before it has read the whole body. Sending
             # stops then, and the connection is not reused.
             tasks.cancel_scope.cancel()
@@ -194,28 +206,50 @@
                 return event
             if limit is not None and self._received_bytes > limit:
                 raise h11.RemoteProtocolError("too many bytes and no response")
-            try:
-                data = await self._stream.receive(READ_SIZE_BYTES)
-            except anyio.EndOfStream:
-                data = b""
+            data = await self._receive()
             self._received_bytes += len(data)
             self.on_receive()
             self._http.receive_data(data)
 
+    async def _receive(self) -> bytes:
+        """Return received data; empty at the end of the stream.
+
+        Raises:
+            StalledError: `stall_deadline` passed.
+        """
+        wait_s = deadlines.compute_remaining(self.stall_deadline)
+        with anyio.move_on_after(wait_s):
+            try:
+                return await self._stream.receive(READ_SIZE_BYTES)
+            except anyio.EndOfStream:
+                return b""
+        raise StalledError("no progress")
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body; ends only when the response is complete.
 
+        A success without a length whose connection ends before the first byte
+        of the body counts as incomplete.
+
         Raises:
             ExchangeError: The response is incomplete.
+            StalledError: `stall_deadline` passed.
         """
+        has_body = False
         while True:
             try:
                 event = await self._next_event()
             except _CONNECTION_ERRORS as error:
                 raise _convert_error(error) from error
             if isinstance(event, h11.Data):
+                has_body = True
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                # Only a body without a length ends with its connection.
+                _, is_closed = self._http.trailing_data
+                is_success = self.head.status in SUCCESS_STATUSES
+                if is_closed and is_success and not has_body:
+                    raise ExchangeError("connection ended before a body", True)
                 self._finish_exchange()
                 return
             else:
@@ -241,6 +275,7 @@
 
         The connection is not reused if the body is long, late or broken.
         """
+        self.stall_deadline = deadlines.NEVER
         with anyio.move_on_after(DISCARD_TIMEOUT_S):
             try:
                 await self.read_body(MAX_DISCARDED_BYTES)
@@ -335,6 +370,7 @@
             yield connection
         finally:
             connection.on_receive = _do_nothing
+            connection.stall_deadline = deadlines.NEVER
             if connection.is_reusable and connection.idle_until:
                 self._release(connection)
             else:
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -39,8 +39,8 @@
 MS_PER_S: Final = 1000.0
 # Remaining time of a request without the header.
 DEFAULT_REMAINING_MS: Final = 30_000
-# Bound on numbers that callers send; 30 years in milliseconds.
-MAX_NUMBER: Final = 1e12
+# Longer than any number of the protocol.
+MAX_DIGITS: Final = 15
 
 # Headers of a single connection (RFC 9110, 7.6.1).
 HOP_BY_HOP: Final = frozenset(
@@ -172,12 +172,11 @@
 
 
 def parse_number(value: bytes | None, default: int) -> int:
-    """Parse a decimal number, at most `MAX_NUMBER`."""
-    digits = (value or b"").strip()
-    if not digits.isdigit():
+    """Parse a whole number; a value that is none counts as absent."""
+    text = (value or b"").strip()
+    if not text.isdigit() or len(text) > MAX_DIGITS:
         return default
-    # Unlike int(), float() takes any number of digits.
-    return int(min(float(digits), MAX_NUMBER))
+    return int(text)
 
 
 def _parse_limit(value: bytes | None) -> float | None:
