--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -29,8 +29,8 @@
     Attributes:
         COMPLETE: The complete output was received.
         FAILED: The endpoint responded with status 500.
-        IMPOSSIBLE: The endpoint responded with status 422; the item is not
-            retried.
+        IMPOSSIBLE: The endpoint responded with status 422, or HTTP can't
+            express the item; it is not retried.
         NOT_RUN: The endpoint responded that it did not run the item.
         NOT_SENT: The endpoint was unreachable; nothing was sent.
         BROKEN: The response was incomplete or invalid; a retry may succeed.
@@ -89,13 +89,13 @@
     Returns:
         The outcome and its reason.
     """
-    call = _build_call(dialect, progress.item, host, deadline)
-    attempt = calls.Attempt(
-        endpoint.id, workspace, deadline, progress.last_event or None
-    )
-    request = dialect.write_attempt(call, attempt)
     sent_at = deadlines.now()
     try:
+        call = _build_call(dialect, progress.item, host, deadline)
+        attempt = calls.Attempt(
+            endpoint.id, workspace, deadline, progress.last_event or None
+        )
+        request = dialect.write_attempt(call, attempt)
         async with pool.use(endpoint.address) as connection:
             connection.on_receive = record_activity
             connection.stall_deadline = deadlines.after(IDLE_TIMEOUT_S)
@@ -111,6 +111,8 @@
                     endpoint.id, info.limit_per_s, sent_at
                 )
             return await _read_response(info, connection, progress)
+    except upstream.InvalidRequestError as error:
+        return Outcome.IMPOSSIBLE, str(error)
     except upstream.ExchangeError as error:
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
         return outcome, str(error)
@@ -122,28 +124,38 @@
     dialect: calls.Dialect, item: calls.BatchItem
 ) -> tuple[str, ...]:
     """Return `calls.Call.prompt_parts` of an item."""
-    return dialect.read_prompt_parts(_encode_headers(item))
+    try:
+        return dialect.read_prompt_parts(_encode_headers(item))
+    except upstream.InvalidRequestError:
+        return ()
 
 
 def _encode_headers(item: calls.BatchItem) -> upstream.Headers:
     return tuple(
-        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        (_encode(name.lower()), _encode(value))
         for name, value in item.headers.items()
     )
 
 
+def _encode(text: str) -> bytes:
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise upstream.InvalidRequestError(str(error)) from error
+
+
 def _build_call(
     dialect: calls.Dialect, item: calls.BatchItem, host: str, deadline: float
 ) -> calls.Call:
     headers = (
-        (b"host", host.encode("latin-1")),
-        (b"request-id", item.id.encode("latin-1")),
+        (b"host", _encode(host)),
+        (b"request-id", _encode(item.id)),
         *_encode_headers(item),
     )
     return calls.Call(
         item.id,
         b"POST",
-        item.path.encode("latin-1"),
+        _encode(item.path),
         host,
         item.path.partition("?")[0],
         None,
@@ -190,6 +202,8 @@
         if complete_events:
             connection.stall_deadline = deadlines.after(IDLE_TIMEOUT_S)
         for event in complete_events:
+            if not _is_text(event):
+                return Outcome.BROKEN, "event is no valid text"
             if not _is_next_event(progress.last_event, event.id):
                 return Outcome.BROKEN, f"event {event.id} is out of order"
             progress.last_event = event.id or progress.last_event
@@ -202,6 +216,16 @@
     return Outcome.COMPLETE, ""
 
 
+def _is_text(event: events.Event) -> bool:
+    """Return whether an event can be stored, and its id sent in a header."""
+    text = event.id + (event.data or "")
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return event.id.isprintable() and event.id == event.id.strip()
+
+
 def _is_next_event(last_id: str, event_id: str) -> bool:
     """Return whether an event id follows the last one without a gap.
 
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -5,11 +5,13 @@
 processes.
 """
 
+from typing import Annotated
 from typing import Final
 import urllib.parse
 
 import msgspec
 
+from eelgrassgate import decoding
 from eelgrassgate.gateway import calls
 
 OPEN: Final = "eelgrassgate/open/"
@@ -26,9 +28,17 @@
 # Values are limited to 1 MiB of base64 text.
 MAX_PART_BYTES: Final = 700_000
 
+# Bounds on numbers in stored values; sums of them fit into 64 bits, and times
+# in seconds can be converted to milliseconds.
+MAX_COUNT: Final = 2**53
+MAX_WALL_TIME_S: Final = 1e12
+
 COMPLETED: Final = "completed"
 DEAD_LETTER: Final = "dead_letter"
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_WallTime = Annotated[float, msgspec.Meta(ge=0, le=MAX_WALL_TIME_S)]
+
 
 class Job(msgspec.Struct, frozen=True):
     """An accepted job; immutable.
@@ -50,11 +60,11 @@
     workspace: str
     host: str
     path: str
-    total: int
-    parts: int
-    due: float
-    kept_until: float
-    config_version: int = 0
+    total: _Count
+    parts: _Count
+    due: _WallTime
+    kept_until: _WallTime
+    config_version: _Count = 0
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -66,7 +76,7 @@
         is_closed: Whether the results of all items are committed.
     """
 
-    ends: tuple[int, ...] = ()
+    ends: tuple[_Count, ...] = ()
     commit: str = ""
     is_closed: bool = False
 
@@ -92,6 +102,8 @@
 
 _ITEMS_DECODER: Final = msgspec.msgpack.Decoder(list[calls.BatchItem])
 _RESULTS_DECODER: Final = msgspec.msgpack.Decoder(list[Result])
+_HEAD_DECODER: Final = msgspec.json.Decoder(Head)
+_JOB_DECODER: Final = msgspec.json.Decoder(Job)
 
 
 def quote(job: str) -> str:
@@ -134,7 +146,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return _ITEMS_DECODER.decode(value)
+    return decoding.decode(_ITEMS_DECODER, value)
 
 
 def decode_results(value: bytes) -> list[Result]:
@@ -143,7 +155,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return _RESULTS_DECODER.decode(value)
+    return decoding.decode(_RESULTS_DECODER, value)
 
 
 def decode_head(value: bytes) -> Head:
@@ -152,7 +164,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return msgspec.json.decode(value, type=Head)
+    return decoding.decode(_HEAD_DECODER, value)
 
 
 def decode_job(value: bytes) -> Job:
@@ -161,4 +173,4 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return msgspec.json.decode(value, type=Job)
+    return decoding.decode(_JOB_DECODER, value)
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -73,6 +73,14 @@
         self.was_sent = was_sent
 
 
+class InvalidRequestError(ExchangeError):
+    """A request that HTTP can't express, so that nothing was sent."""
+
+    def __init__(self, message: str) -> None:
+        """Initialize with a message."""
+        super().__init__(message, False)
+
+
 class StalledError(Exception):
     """The peer sent nothing useful until `Connection.stall_deadline`."""
 
@@ -123,13 +131,18 @@
         an earlier request and are discarded.
 
         Raises:
+            InvalidRequestError: The request can't be sent.
             ExchangeError: The connection failed before the head was received.
             StalledError: `stall_deadline` passed before.
         """
         self.is_reusable = False
+        try:
+            data = _write_request(self._http, request)
+        except h11.LocalProtocolError as error:
+            raise InvalidRequestError(str(error)) from error
         failure: ExchangeError | StalledError | None = None
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send, request)
+            tasks.start_soon(self._send, data)
             try:
                 await self._read_head(request, is_expected)
             except _CONNECTION_ERRORS as error:
@@ -142,16 +155,7 @@
         if failure is not None:
             raise failure
 
-    async def _send(self, request: Request) -> None:
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=list(request.headers),
-        )
-        data = self._http.send(head) or b""
-        if request.body:
-            data += self._http.send(h11.Data(data=request.body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
+    async def _send(self, data: bytes) -> None:
         try:
             await self._stream.send(data)
         except _CONNECTION_ERRORS:
@@ -186,16 +190,7 @@
         # A new h11 connection expects to send a request before it reads a
         # response. The request was sent already, so its bytes are discarded.
         self._http = h11.Connection(h11.CLIENT)
-        self._http.send(
-            h11.Request(
-                method=request.method,
-                target=request.target,
-                headers=list(request.headers),
-            )
-        )
-        if request.body:
-            self._http.send(h11.Data(data=request.body))
-        self._http.send(h11.EndOfMessage())
+        _write_request(self._http, request)
         if trailing_data:
             self._http.receive_data(trailing_data)
 
@@ -316,6 +311,23 @@
         await sockets.abort(self._stream)
 
 
+def _write_request(connection: h11.Connection, request: Request) -> bytes:
+    """Return the bytes of a request.
+
+    Raises:
+        h11.LocalProtocolError: HTTP can't express the request.
+    """
+    head = h11.Request(
+        method=request.method,
+        target=request.target,
+        headers=list(request.headers),
+    )
+    data = connection.send(head) or b""
+    if request.body:
+        data += connection.send(h11.Data(data=request.body)) or b""
+    return data + (connection.send(h11.EndOfMessage()) or b"")
+
+
 def _convert_error(error: Exception) -> ExchangeError:
     return ExchangeError(str(error) or type(error).__name__, True)
 
@@ -326,6 +338,7 @@
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
         if name.lower() == b"timeout" and seconds.isdigit():
+            # Unlike int(), float() takes any number of digits.
             return max(0.0, float(seconds) - KEEP_ALIVE_MARGIN_S)
     return DEFAULT_KEEP_ALIVE_S
 
--- a/eelgrassgate/peering/registry.py
+++ b/eelgrassgate/peering/registry.py
@@ -8,7 +8,9 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import addresses
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
@@ -67,6 +69,9 @@
     incarnation: int
 
 
+_MEMBER_DECODER: Final = msgspec.json.Decoder(Member)
+
+
 class Registration:
     """Keeps this process's lease and its entry alive.
 
@@ -156,7 +161,7 @@
                 self._expired_names.add(name)
                 continue
             try:
-                member = msgspec.json.decode(change.value, type=Member)
+                member = _decode_member(name, change.value)
             except msgspec.MsgspecError as error:
                 logs.log_message("member:invalid", name=name, reason=str(error))
                 continue
@@ -184,6 +189,24 @@
         )
 
 
+def _decode_member(name: str, value: bytes) -> Member:
+    """Decode an entry.
+
+    Raises:
+        msgspec.MsgspecError: The entry is malformed or names no process to
+            which reports can be sent.
+    """
+    member = decoding.decode(_MEMBER_DECODER, value)
+    if member.name != name:
+        raise msgspec.ValidationError("the name differs from the key")
+    # Sending a datagram to a name would block on resolving it.
+    if not addresses.is_ipv4(member.address):
+        raise msgspec.ValidationError("invalid address")
+    if not addresses.is_valid(member.relay_address):
+        raise msgspec.ValidationError("invalid relay address")
+    return member
+
+
 def create_registration(store: base.Store, member: Member) -> Registration:
     """Create the registration of `member`."""
     return Registration(store, member)
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -10,7 +10,9 @@
 import msgspec
 import xxhash
 
+from eelgrassgate import addresses
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.peering import datagrams
 from eelgrassgate.peering import failures as failures_lib
@@ -51,9 +53,9 @@
         age_s: Seconds since then.
     """
 
-    version: int = 0
-    revision: int = 0
-    age_s: float = 0.0
+    version: decoding.Count = 0
+    revision: decoding.Count = 0
+    age_s: decoding.Amount = 0.0
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -84,17 +86,21 @@
     name: str
     incarnation: int
     number: int
-    uptime_s: float
-    online_by_endpoint: dict[str, int]
-    batch_by_endpoint: dict[str, int]
-    admitted_by_workspace: dict[str, float]
+    uptime_s: decoding.Amount
+    online_by_endpoint: dict[str, decoding.Count]
+    batch_by_endpoint: dict[str, decoding.Count]
+    admitted_by_workspace: dict[str, decoding.Amount]
     has_store: bool = True
     missing_peers: tuple[str, ...] = ()
-    failures_by_endpoint: dict[str, tuple[float, float]] = {}
+    failures_by_endpoint: dict[
+        str, tuple[decoding.Amount, decoding.Amount]
+    ] = {}
     is_leaving: bool = False
     config: ConfigStatus = ConfigStatus()
     quarantine: quarantine_lib.Report = quarantine_lib.Report()
-    limits_by_endpoint: dict[str, tuple[int, float | None]] = {}
+    limits_by_endpoint: dict[
+        str, tuple[decoding.Count, decoding.Amount | None]
+    ] = {}
 
 
 class Peer(msgspec.Struct):
@@ -210,8 +216,8 @@
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
-        host, _, port = self._member.address.rpartition(":")
-        socket = datagrams.create_datagram_socket(host, int(port))
+        own = addresses.parse(self._member.address)
+        socket = datagrams.create_datagram_socket(own.host, own.port)
         async with socket, anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive, socket)
             await self._send_loop(socket)
@@ -231,7 +237,7 @@
 
     def _handle_datagram(self, data: bytes, sender: str) -> None:
         try:
-            report = _DECODER.decode(data)
+            report = decoding.decode(_DECODER, data)
         except msgspec.MsgspecError as error:
             logs.log_message("reports:invalid", reason=str(error))
             return
@@ -400,9 +406,9 @@
         member: registry.Member,
         data: bytes,
     ) -> None:
-        host, _, port = member.address.rpartition(":")
+        target = addresses.parse(member.address)
         try:
-            socket.send(data, host, int(port))
+            socket.send(data, target.host, target.port)
         except OSError as error:
             logs.log_message(
                 "reports:send_failed", peer=member.name, reason=str(error)
@@ -416,7 +422,8 @@
         return [
             self._peers_by_name[other].data
             for other in peer.report.missing_peers
-            if self.is_directly_reachable(other)
+            if other in self._peers_by_name
+            and self.is_directly_reachable(other)
             and self._is_forwarder(other, name)
         ]
 
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -5,6 +5,7 @@
 import urllib.parse
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.gateway import calls
 from eelgrassgate.http1 import downstream
@@ -108,7 +109,9 @@
         headers = list(call.headers)
         if attempt.resume_after is not None:
             headers = [one for one in headers if one[0] != LAST_EVENT_ID]
-            headers.append((LAST_EVENT_ID, attempt.resume_after.encode()))
+            # As in the event; see `events.Splitter`.
+            last_id = attempt.resume_after.encode("utf-8", "surrogateescape")
+            headers.append((LAST_EVENT_ID, last_id))
         headers.append((TIME_REMAINING, b"%d" % max(1, remaining_ms)))
         headers.append((EXPECT_INSTANCE, attempt.endpoint.encode()))
         if attempt.workspace:
@@ -184,7 +187,7 @@
         limit_per_s = float(value)
     except ValueError:
         limit_per_s = math.nan
-    if not (math.isfinite(limit_per_s) and limit_per_s >= 0.0):
+    if not 0.0 <= limit_per_s <= decoding.MAX_AMOUNT:
         logs.log_message("endpoint:limit_invalid", value=repr(value))
         return None
     return limit_per_s
--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -1,11 +1,15 @@
 """Decoding of the operators' configuration and requests, and of endpoints."""
 
+import re
+from typing import Annotated
 from typing import Any
 from typing import Final
 
 import msgspec
 
+from eelgrassgate import addresses
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery
@@ -19,6 +23,20 @@
 
 MS_PER_S: Final = 1000.0
 
+MAX_KEY_BYTES: Final = 200
+# Longest name of an instance whose retirement can be reported.
+MAX_INSTANCE_BYTES: Final = MAX_KEY_BYTES - len(RETIREMENT_STATUS_PREFIX)
+MAX_SLOTS: Final = 1_000_000
+MAX_INT64: Final = 2**63 - 1
+# The id of an endpoint is sent in a header.
+_ENDPOINT_ID: Final = re.compile(rf"[^\x00-\x20\x7f]{{1,{MAX_KEY_BYTES}}}")
+# No control characters, and no blank at either end (RFC 9110, 5.5).
+_HEADER_VALUE: Final = (
+    r"^(?:[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?\Z"
+)
+_STATES: Final = frozenset({"ready", "draining"})
+_Int64 = Annotated[int, msgspec.Meta(ge=-MAX_INT64, le=MAX_INT64)]
+
 _KINDS: Final = {
     "safe": catalog.Kind.IDEMPOTENT,
     "unsafe": catalog.Kind.NON_IDEMPOTENT,
@@ -29,7 +47,7 @@
 
 class _Split(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: decoding.Amount
 
 
 class _Route(msgspec.Struct, frozen=True, rename="kebab"):
@@ -39,41 +57,42 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float = 0.0
-    target_latency_ms: float = 0.0
-    max_attempts: int = 1
-    priority: int = 0
+    timeout_ms: decoding.Amount = 0.0
+    target_latency_ms: decoding.Amount = 0.0
+    max_attempts: _Int64 = 1
+    priority: _Int64 = 0
     allow_anonymous: bool = False
     allow_resume: bool = False
     service: str | None = None
     traffic_split: list[_Split] = []
-    completion_target_ms: float = 0.0
-    retention_s: float = 0.0
+    completion_target_ms: decoding.Amount = 0.0
+    retention_s: decoding.Amount = 0.0
 
 
 class _Service(msgspec.Struct, frozen=True, rename="kebab"):
     name: str
-    max_connections: int = 0
+    max_connections: _Int64 = 0
     engine: dict[str, Any] | None = None
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
-    name: str
+    # Sent in a header.
+    name: Annotated[str, msgspec.Meta(pattern=_HEADER_VALUE)]
     api_keys: list[str] = []
-    rate_per_s: float = 0.0
-    burst: float = 0.0
-    priority: int | None = None
+    rate_per_s: decoding.Amount = 0.0
+    burst: decoding.Amount = 0.0
+    priority: _Int64 | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 5_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: decoding.Count = 16_384
+    max_body_bytes: decoding.Count = 4_194_304
+    header_timeout_ms: decoding.Amount = 5_000.0
+    idle_timeout_ms: decoding.Amount = 15_000.0
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: decoding.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -89,18 +108,29 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    born: int
-    sequence: int
+    born: _Int64
+    sequence: _Int64
     cold_remaining_ms: float
     version: str
 
 
+class _Retirement(msgspec.Struct, frozen=True, rename="kebab"):
+    """A request to drain an instance within `duration_s`."""
+
+    duration_s: float
+
+
+_CONFIG_DECODER: Final = msgspec.json.Decoder(_Config)
+_ENTRY_DECODER: Final = msgspec.json.Decoder(_Entry)
+_RETIREMENT_DECODER: Final = msgspec.json.Decoder(_Retirement)
+
+
 def decode_config(value: bytes) -> catalog.Catalog | None:
     """Decode the configuration; log and return None if it is invalid."""
     try:
-        config = msgspec.json.decode(value, type=_Config)
+        config = decoding.decode(_CONFIG_DECODER, value)
     except msgspec.MsgspecError as error:
         logs.log_message("config:invalid", reason=str(error))
         return None
@@ -159,18 +189,20 @@
 
 
 def decode_endpoint(key: str, value: bytes) -> catalog.Endpoint | None:
-    """Decode an endpoint's entry; return None if it is not usable.
-
-    Invalid entries from other writers are expected and are not logged.
-    """
+    """Decode an endpoint's entry; return None if it is not usable."""
+    endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        entry = decoding.decode(_ENTRY_DECODER, value)
     except msgspec.MsgspecError:
         return None
-    if entry.state not in {"ready", "draining"} or entry.slots < 1:
+    if (
+        entry.state not in _STATES
+        or not _ENDPOINT_ID.fullmatch(endpoint_id)
+        or not addresses.is_valid(entry.address)
+    ):
         return None
     return catalog.Endpoint(
-        key.removeprefix(ENDPOINT_PREFIX),
+        endpoint_id,
         entry.service,
         entry.address,
         entry.zone,
@@ -180,12 +212,6 @@
     )
 
 
-class _Retirement(msgspec.Struct, frozen=True, rename="kebab"):
-    """A request to drain an instance within `duration_s`."""
-
-    duration_s: float
-
-
 def decode_retirement(key: str, value: bytes) -> discovery.Retirement | None:
     """Decode a request to drain an instance.
 
@@ -193,15 +219,16 @@
     """
     if not key.startswith(RETIREMENT_PREFIX):
         return None
+    name = key.removeprefix(RETIREMENT_PREFIX)
+    if not 0 < len(name.encode()) <= MAX_INSTANCE_BYTES:
+        logs.log_message("retirement:invalid", key=key, reason="invalid name")
+        return None
     try:
-        retirement = msgspec.json.decode(value, type=_Retirement)
+        retirement = decoding.decode(_RETIREMENT_DECODER, value)
     except msgspec.MsgspecError as error:
         logs.log_message("retirement:invalid", key=key, reason=str(error))
         return None
-    return discovery.Retirement(
-        key.removeprefix(RETIREMENT_PREFIX),
-        deadlines.after(retirement.duration_s),
-    )
+    return discovery.Retirement(name, deadlines.after(retirement.duration_s))
 
 
 def encode_retirement_status(
--- a/eelgrassgate/quarantine/quarantine.py
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from eelgrassgate import deadlines
+from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate.quarantine import evidence
 
@@ -43,7 +44,7 @@
     """The end of an endpoint `age_s` seconds ago."""
 
     endpoint: str
-    age_s: float
+    age_s: decoding.Amount
     exposures: tuple[evidence.Exposure, ...]
 
 
@@ -58,8 +59,8 @@
     """
 
     ends: tuple[EndReport, ...] = ()
-    answer_age_s_by_part: dict[str, float] = {}
-    remaining_s_by_part: dict[str, float] = {}
+    answer_age_s_by_part: dict[str, decoding.Amount] = {}
+    remaining_s_by_part: dict[str, decoding.Amount] = {}
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -217,9 +218,11 @@
 
         Args:
             part: Id of the part.
-            until: Monotonic time at which the quarantine ends.
+            until: Monotonic time at which the quarantine ends; at the latest
+                `QUARANTINE_S` from now.
             source: Where this process learned of it.
         """
+        until = min(until, self._clock() + QUARANTINE_S)
         if part in self.until_by_part or until <= self._clock():
             return
         answered_at = self._answered_at_by_part.get(part, float("-inf"))
