Keep a process running when a client resets its connection

A client that reset its connection right after connecting ended a gateway, and with it all open requests.

Cause: socket options are set outside of the connection's guard, on a socket that uvloop has dropped already: AttributeError and ValueError, not OSError. On connections to endpoints and the key-value service the same error was taken for a bug instead of a lost connection.

Evidence: both cases of the test fail without the change; found by a review.

Change: setting an option raises OSError on a closed connection, which all callers handle; resetting one that is closed does nothing.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -490,7 +490,12 @@
             await anyio.sleep_forever()
 
     async def _serve_one(self, stream: abc.SocketStream) -> None:
-        sockets.set_options(stream)
+        try:
+            sockets.set_options(stream)
+        except OSError as error:
+            logs.log_message("accept failed", reason=str(error))
+            await sockets.abort(stream)
+            return
         connection = Connection(
             stream, self._read_limits, self._handle, self._is_closing
         )
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -1,5 +1,6 @@
 """TCP connections with options that detect unresponsive peers."""
 
+import contextlib
 import errno
 import select
 import socket
@@ -35,10 +36,24 @@
 
 
 def set_options(stream: abc.SocketStream) -> None:
-    """Set `TCP_OPTIONS` on a connection."""
-    raw: Any = stream.extra(abc.SocketAttribute.raw_socket)
+    """Set `TCP_OPTIONS` on a connection.
+
+    Raises:
+        OSError: The connection was closed meanwhile.
+    """
     for level, name, value in TCP_OPTIONS:
+        _set_option(stream, level, name, value)
+
+
+def _set_option(
+    stream: abc.SocketStream, level: int, name: int, value: int | bytes
+) -> None:
+    try:
+        raw: Any = stream.extra(abc.SocketAttribute.raw_socket)
         raw.setsockopt(level, name, value)
+    except (AttributeError, ValueError) as error:
+        # uvloop has dropped the socket.
+        raise ConnectionResetError("connection was closed") from error
 
 
 async def connect(address: str, timeout_s: float) -> abc.SocketStream:
@@ -82,8 +97,8 @@
 
 async def reset(stream: abc.SocketStream) -> None:
     """Close a connection with a reset instead of an end of stream."""
-    raw: Any = stream.extra(abc.SocketAttribute.raw_socket)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    with contextlib.suppress(OSError):
+        _set_option(stream, socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     await abort(stream)
 
 
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 from typing import Any
 import unittest
 from unittest import mock
@@ -10,8 +11,10 @@
 import anyio.abc
 import h11
 
+from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import forwarding
 from eelgrassgate.http1 import downstream
+from eelgrassgate.http1 import sockets
 from eelgrassgate.platform import dialect
 from eelgrassgate.standins import endpoint
 from tests import site as site_lib
@@ -114,6 +117,42 @@
         self.assertEqual(errors, [])
 
 
+class ResetTest(unittest.TestCase):
+    def test_reset_connections_do_not_stop_the_process(self) -> None:
+        for request in (b"", b"POST /stream/a HTTP/1.0\r\nHost: a\r\n\r\n"):
+            with self.subTest(request):
+                anyio.run(
+                    self.reset_connections,
+                    request.replace(b"a\r", site_lib.HOST.encode() + b"\r"),
+                    backend_options={"use_uvloop": True},
+                )
+
+    async def reset_connections(self, request: bytes) -> None:
+        async with site_lib.open_site() as site:
+            site.catalog = site_lib.make_catalog(
+                [
+                    site_lib.make_route(
+                        "/stream/", catalog.Kind.STREAM, is_open=True
+                    ),
+                    site_lib.make_route("/plain/", catalog.Kind.IDEMPOTENT),
+                ]
+            )
+            for one in site.endpoints:
+                one.behavior = endpoint.Behavior(event_delay_s=0.02)
+            host, _, port = site.address.rpartition(":")
+            for _ in range(20):
+                with socket.create_connection((host, int(port))) as client:
+                    client.send(request)
+                    if request:
+                        await anyio.sleep(0.04)
+                    client.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, sockets.NO_LINGER
+                    )
+                await anyio.sleep(0.005)
+            response = await site_lib.call(site.address, "/plain/a")
+            self.assertEqual(response.status, 200)
+
+
 class CancelTest(unittest.IsolatedAsyncioTestCase):
     async def test_response_that_arrives_at_the_deadline_is_not_cut(
         self,
