Don't let a caller that does not read hold up a shutdown

A large response to a caller that did not read held up the cancellation of all tasks for up to the write timeout since heads and complete responses are written in a shielded scope; a gateway would have been killed with requests in hand.

Change: the shield ends after 0.25 s, by when all bytes are in the connection's buffer, and the rest of the wait can be cancelled as before.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -25,6 +25,8 @@
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # A connection is closed if the client does not read for this long.
 WRITE_TIMEOUT_S: Final = 10.0
+# A response that is ready is written for this long after a cancellation.
+SHIELD_S: Final = 0.25
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -167,16 +169,23 @@
         await self._write_shielded(data)
 
     async def _write_shielded(self, data: bytes | None) -> None:
-        """Write although the handler is cancelled, up to the write timeout.
+        """Write although the handler is cancelled.
 
-        h11 counts the bytes as sent, so no other response could follow.
+        h11 counts the bytes as sent, so no other response could follow. Once
+        they are in the buffer of the connection, only waiting for a client that
+        does not read can be cancelled.
         """
-        with anyio.CancelScope(shield=True):
+        with anyio.move_on_after(SHIELD_S, shield=True) as scope:
             await self._write(data)
+        if scope.cancelled_caught:
+            await self._send(b"")
 
     async def _write(self, data: bytes | None) -> None:
-        if not data:
-            return
+        if data:
+            await self._send(data)
+
+    async def _send(self, data: bytes) -> None:
+        """Add data to the buffer and wait until the buffer is empty."""
         try:
             with anyio.fail_after(WRITE_TIMEOUT_S):
                 await self._stream.send(data)
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -154,6 +154,27 @@
 
 
 class CancelTest(unittest.IsolatedAsyncioTestCase):
+    async def test_caller_that_does_not_read_does_not_hold_up_a_shutdown(
+        self,
+    ) -> None:
+        async def handle(
+            incoming: downstream.IncomingRequest,
+            responder: downstream.Responder,
+        ) -> None:
+            await responder.reply(200, (), bytes(16_000_000))
+
+        listener = downstream.Listener(downstream.Limits, handle, lambda: False)
+        with socket.socket() as client:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(listener.run)
+                port = await tasks.start(listener.serve, "127.0.0.1:0")
+                client.connect(("127.0.0.1", port))
+                client.send(write_request())
+                await anyio.sleep(0.2)
+                stopped_at = anyio.current_time()
+                tasks.cancel_scope.cancel()
+            self.assertLess(anyio.current_time(), stopped_at + 1.0)
+
     async def test_response_that_arrives_at_the_deadline_is_not_cut(
         self,
     ) -> None:
