Don't refuse a job as not accepted that is written meanwhile

A job that comes twice at once while the store is lost could be answered 503, which says that it is not accepted, although the other copy was being written.

Cause: whether an earlier write may take effect was read before the wait for the check of the store. Found by a review, by reading. The test fails without the change (503 instead of 504).

Change: it is read after that wait; nothing is awaited between it and the refusal.

--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -109,8 +109,9 @@
         if not items or not call.id or len(call.id) > records.MAX_ID_CHARS:
             await responder.reply(BAD_REQUEST)
             return
-        is_unconfirmed = self._intake.is_unconfirmed(call.id)
         retry_delay_s = await self._intake.check(call.deadline)
+        # After the wait, during which another copy of the job may be written.
+        is_unconfirmed = self._intake.is_unconfirmed(call.id)
         if retry_delay_s is not None:
             logs.log_message(
                 "refused",
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import Final
 import unittest
+from unittest import mock
 
 import anyio
 from returns import result
@@ -207,6 +208,19 @@
                     # The repeated job meets its own record.
                     self.assertEqual((await self.submit(site)).status, 202)
 
+    async def test_job_that_is_written_meanwhile_is_not_refused_as_not_run(
+        self,
+    ) -> None:
+        async with open_site(make_lost_store()) as site:
+            intake = site.batches.intake
+
+            async def check(deadline: float) -> float | None:
+                intake.record_write("r1")
+                return 0.5
+
+            with mock.patch.object(intake, "check", check):
+                self.assertEqual((await self.submit(site)).status, 504)
+
     async def test_one_read_checks_the_store_for_all_callers(self) -> None:
         store = make_lost_store()
         intake = intake_lib.create_intake(store, store.contact)
