--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -203,7 +203,7 @@
             if outcome is Result.DONE:
                 return
             excluded.add(choice.endpoint.id)
-            if outcome is Result.LOST:
+            if outcome is Result.LOST and not progress.has_endpoint_ended:
                 begun_at.add(choice.endpoint.id)
             can_retry = _can_retry(route, outcome, progress, call.deadline)
             if not can_retry and _can_return(
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -59,6 +59,7 @@
             downstream.ClientDisconnectedError: The caller disconnected.
         """
         call = self._dialect.read_call(incoming)
+        has_failed = False
         try:
             await self._handle_request(incoming, call, responder)
         except forwarding.IncompleteResponseError as error:
@@ -68,8 +69,14 @@
             logs.log_message(
                 "response truncated", id=call.id, reason=str(error)
             )
+        except downstream.ClientDisconnectedError:
+            raise
+        except Exception:
+            # The connection responds to it.
+            has_failed = True
+            raise
         finally:
-            if not responder.has_begun:
+            if not responder.has_begun and not has_failed:
                 logs.log_message(
                     "request unanswered",
                     id=call.id,
