Log which identical requests were in flight when endpoints ended

At each, a request with the same last shared part of its prompt was in flight without output, each time with a new id; other requests with that part were answered in between. The lines don't tell the same request that comes again from different requests with the part.

`attempt lost` now holds a hash of the workspace, host, method, target and body.

No logic that depends on the hash is changed.

--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -1,6 +1,8 @@
 """Requests and responses of the gateway, independent of the wire format."""
 
 from collections.abc import Mapping
+import hashlib
+from typing import Final
 from typing import Protocol
 
 import msgspec
@@ -8,6 +10,10 @@
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
 
+# 64 bits of a cryptographic hash: a caller can't craft a request that is taken
+# for another one.
+FINGERPRINT_BYTES: Final = 8
+
 
 class Call(msgspec.Struct, frozen=True):
     """A caller's request.
@@ -26,6 +32,8 @@
             or the route's timeout passes.
         prompt_parts: Ids of the parts of the prompt that other requests may
             share, in order; the last part is the request's own and left out.
+        fingerprint: Hash that identical requests share; see
+            `compute_fingerprint`.
     """
 
     id: str
@@ -38,6 +46,19 @@
     body: bytes
     deadline: float
     prompt_parts: tuple[str, ...] = ()
+    fingerprint: str = ""
+
+
+def compute_fingerprint(call: Call, workspace: str) -> str:
+    """Return a hash that tells a request that is sent again from others.
+
+    Attempts differ in their id, time and connection; what the workspace asks
+    for is the same.
+    """
+    fields = (workspace, call.host, call.method, call.target, call.body)
+    return hashlib.blake2b(
+        msgspec.msgpack.encode(fields), digest_size=FINGERPRINT_BYTES
+    ).hexdigest()
 
 
 class Attempt(msgspec.Struct, frozen=True):
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -132,6 +132,9 @@
             downstream.ClientDisconnectedError: The caller disconnected.
         """
         progress = _Progress()
+        call = msgspec.structs.replace(
+            call, fingerprint=calls.compute_fingerprint(call, workspace)
+        )
         with anyio.move_on_after(deadlines.compute_remaining(call.deadline)):
             await self._forward_with_retries(
                 call, route, workspace, responder, progress
@@ -247,12 +250,13 @@
             reason = str(error)
             result = Result.LOST if error.was_sent else Result.NOT_SENT
             self._placement.record_unreachable(endpoint)
-            if error.was_sent and call.prompt_parts:
+            if error.was_sent:
                 run = quarantine_lib.Run(
                     call.id,
                     call.prompt_parts,
                     started_at,
                     progress.has_output,
+                    call.fingerprint,
                 )
                 progress.has_endpoint_ended = (
                     await lost_attempts.check_endpoint(
--- a/eelgrassgate/gateway/lost_attempts.py
+++ b/eelgrassgate/gateway/lost_attempts.py
@@ -31,6 +31,7 @@
         has_endpoint_ended=has_ended,
         has_output=run.has_output,
         parts=run.parts,
+        fingerprint=run.fingerprint,
     )
     if has_ended:
         metrics.count_endpoint_end(endpoint.service)
--- a/eelgrassgate/quarantine/quarantine.py
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -70,12 +70,15 @@
         parts: Ids of the parts of its prompt, without its own.
         sent_at: Monotonic time at which it was sent to the endpoint.
         has_output: Whether it had produced output there.
+        fingerprint: Hash that identical requests share; empty for a batch
+            item.
     """
 
     request: str
     parts: tuple[str, ...]
     sent_at: float
     has_output: bool
+    fingerprint: str = ""
 
 
 class Quarantine:
