--- a/eelgrassgate/quarantine/evidence.py
+++ b/eelgrassgate/quarantine/evidence.py
@@ -1,11 +1,11 @@
 """Infers from ended endpoints which prompt part crashes them.
 
-A part is suspected if it was in flight at several endpoints when they ended,
-one after the other, and no request with it has been answered completely since.
-One part explains an end: the parts of other requests at the same endpoints are
-not blamed for it. Endpoints that end together count once, since no request was
-sent to one of them because another had ended. Endpoints that end without the
-part meanwhile speak for an outage.
+A suspect is a part of a prompt. It is blamed if it was in flight at several
+endpoints when they ended, one after the other, and no request with it has been
+answered completely since. One suspect explains an end: those of other requests
+at the same endpoints are not blamed for it. Endpoints that end together count
+once, since no request was sent to one of them because another had ended.
+Endpoints that end without the suspect meanwhile speak for an outage.
 """
 
 import collections
@@ -16,34 +16,34 @@
 
 import msgspec
 
-# Consecutive ends after which a part is blamed if it explains all ends
+# Consecutive ends after which a suspect is blamed if it explains all ends
 # meanwhile; if it explains a fraction of them, so many more are needed.
 MIN_ROUNDS: Final = 4
-# The same for a part that was in a complete response recently.
+# The same for a suspect that was in a complete response recently.
 MIN_TRUSTED_ROUNDS: Final = 6
-# Consecutive ends after which a request with the part is not sent again.
+# Consecutive ends after which a request with the suspect is not sent again.
 MIN_SUSPECT_ROUNDS: Final = 2
 # Different requests that must have been in flight at the ends. The end of a
 # single request's prompt may be the cause as well, and is never blamed.
 MIN_REQUESTS: Final = 2
-# Number of ends from which parts that were in flight at exactly the same ends
-# are told apart by their position; below, further ends are awaited.
+# Number of ends from which suspects that were in flight at exactly the same
+# ends are told apart by their position; below, further ends are awaited.
 MIN_TIED_ENDS: Final = 5
 
 
 class Exposure(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt part in flight at an endpoint when the endpoint ended.
+    """A suspect in flight at an endpoint when the endpoint ended.
 
     Attributes:
-        part: Id of the part.
-        position: Index of the part in its prompt.
+        suspect: Id of the prompt part.
+        position: Index of the suspect in its prompt.
         request: Hash of the id of the request that was sent last.
         lead_s: Seconds from sending that request to the end.
-        has_output: Whether all requests with the part had produced output at
+        has_output: Whether all requests with the suspect had produced output at
             this endpoint.
     """
 
-    part: str
+    suspect: str
     position: int
     request: int
     lead_s: float
@@ -56,16 +56,16 @@
     Attributes:
         endpoint: Id of the endpoint.
         at: Monotonic time in seconds.
-        exposures_by_part: The parts in flight.
+        exposures_by_suspect: The suspects in flight.
     """
 
     endpoint: str
     at: float
-    exposures_by_part: Mapping[str, Exposure]
+    exposures_by_suspect: Mapping[str, Exposure]
 
 
 def merge_exposures(first: Exposure, second: Exposure) -> Exposure:
-    """Combine what two requests tell about one part at the same end."""
+    """Combine what two requests tell about one suspect at the same end."""
     last_sent = min(first, second, key=lambda one: one.lead_s)
     return msgspec.structs.replace(
         last_sent, has_output=first.has_output and second.has_output
@@ -73,20 +73,20 @@
 
 
 class Streak(msgspec.Struct, frozen=True):
-    """Ends under one part since its last complete response.
+    """Ends under one suspect since its last complete response.
 
     Attributes:
-        part: Id of the part.
+        suspect: Id of the suspect.
         endpoints: Ids of the endpoints.
-        rounds: Number of ends in a row: before each, a request with the part
+        rounds: Number of ends in a row: before each, a request with the suspect
             was sent after the one before.
         requests: Hashes of different requests.
-        is_trusted: Whether a response with the part was complete recently.
-        position: Index of the part in its prompt.
-        coverage: Fraction of all ends meanwhile that the part explains.
+        is_trusted: Whether a response with the suspect was complete recently.
+        position: Index of the suspect in its prompt.
+        coverage: Fraction of all ends meanwhile that the suspect explains.
     """
 
-    part: str
+    suspect: str
     endpoints: frozenset[str]
     rounds: int
     requests: frozenset[int]
@@ -95,7 +95,7 @@
     coverage: float
 
     def is_conclusive(self) -> bool:
-        """Return whether the ends suffice to blame the part."""
+        """Return whether the ends suffice to blame the suspect."""
         needed = MIN_TRUSTED_ROUNDS if self.is_trusted else MIN_ROUNDS
         return (
             self.rounds * self.coverage >= needed
@@ -104,14 +104,14 @@
 
 
 def compute_streak(
-    part: str, ends: Iterable[End], answered_at: Mapping[str, float]
+    suspect: str, ends: Iterable[End], answered_at: Mapping[str, float]
 ) -> Streak:
-    """Return the ends under a part.
+    """Return the ends under a suspect.
 
     Args:
-        part: Id of the part.
+        suspect: Id of the suspect.
         ends: All known ends, in order of time.
-        answered_at: Monotonic time of the last complete response by part.
+        answered_at: Monotonic time of the last complete response by suspect.
     """
     endpoints: set[str] = set()
     requests: set[int] = set()
@@ -121,7 +121,7 @@
     position = 0
     counted_until = float("-inf")
     for end in ends:
-        exposure = end.exposures_by_part.get(part)
+        exposure = end.exposures_by_suspect.get(suspect)
         if exposure is None or not _is_suspect(end, exposure, answered_at):
             unexplained += bool(endpoints)
             continue
@@ -133,11 +133,11 @@
             rounds += 1
             counted_until = end.at
     return Streak(
-        part,
+        suspect,
         frozenset(endpoints),
         rounds,
         frozenset(requests),
-        part in answered_at,
+        suspect in answered_at,
         position,
         len(endpoints) / max(1, len(endpoints) + others),
     )
@@ -146,23 +146,25 @@
 def _is_suspect(
     end: End, exposure: Exposure, answered_at: Mapping[str, float]
 ) -> bool:
-    """Return whether a part may have caused an end.
+    """Return whether a suspect may have caused an end.
 
-    A response that had begun speaks for its parts, unless no request without
+    A response that had begun speaks for its suspects, unless no request without
     output was in flight that could be the cause.
     """
-    if _is_cleared(end, exposure.part, answered_at):
+    if _is_cleared(end, exposure.suspect, answered_at):
         return False
     if not exposure.has_output:
         return True
-    return exposure.part not in answered_at and all(
-        other.has_output or _is_cleared(end, other.part, answered_at)
-        for other in end.exposures_by_part.values()
+    return exposure.suspect not in answered_at and all(
+        other.has_output or _is_cleared(end, other.suspect, answered_at)
+        for other in end.exposures_by_suspect.values()
     )
 
 
-def _is_cleared(end: End, part: str, answered_at: Mapping[str, float]) -> bool:
-    return answered_at.get(part, float("-inf")) > end.at
+def _is_cleared(
+    end: End, suspect: str, answered_at: Mapping[str, float]
+) -> bool:
+    return answered_at.get(suspect, float("-inf")) > end.at
 
 
 def find_culprits(
@@ -170,18 +172,18 @@
     answered_at: Mapping[str, float],
     convicted: Collection[str] = (),
 ) -> list[str]:
-    """Return the parts to blame, each for the ends that only it explains.
+    """Return the suspects to blame, each for the ends that only it explains.
 
     Args:
         ends: All known ends, in order of time.
-        answered_at: Monotonic time of the last complete response by part.
+        answered_at: Monotonic time of the last complete response by suspect.
         convicted: Parts that are blamed already; they explain their ends.
     """
     culprits: list[str] = []
     blamed = set(convicted)
     while True:
         unexplained = [
-            end for end in ends if blamed.isdisjoint(end.exposures_by_part)
+            end for end in ends if blamed.isdisjoint(end.exposures_by_suspect)
         ]
         culprit = _find_culprit(unexplained, answered_at)
         if culprit is None:
@@ -193,16 +195,16 @@
 def _find_culprit(
     ends: Collection[End], answered_at: Mapping[str, float]
 ) -> str | None:
-    """Return the part that explains most ends; None if that is unclear."""
+    """Return the suspect that explains most ends; None if that is unclear."""
     counts = collections.Counter(
-        part for end in ends for part in end.exposures_by_part
+        suspect for end in ends for suspect in end.exposures_by_suspect
     )
     streaks = [
         streak
         for streak in (
-            compute_streak(part, ends, answered_at)
-            for part in sorted(counts)
-            if counts[part] >= MIN_ROUNDS
+            compute_streak(suspect, ends, answered_at)
+            for suspect in sorted(counts)
+            if counts[suspect] >= MIN_ROUNDS
         )
         if streak.is_conclusive()
     ]
@@ -217,11 +219,11 @@
         and not other.endpoints.isdisjoint(best.endpoints)
     ]
     if not tied:
-        return best.part
+        return best.suspect
     # The later part of a prompt is the likelier cause: fewer requests share it.
     is_later = all(other.position < best.position for other in tied)
     is_enough = len(best.endpoints) >= MIN_TIED_ENDS
-    return best.part if is_enough and is_later else None
+    return best.suspect if is_enough and is_later else None
 
 
 def _get_rank(streak: Streak) -> tuple[bool, int, int]:
--- a/eelgrassgate/quarantine/quarantine.py
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -18,14 +18,14 @@
 from eelgrassgate import logs
 from eelgrassgate.quarantine import evidence
 
-# How long requests with a blamed part are refused.
+# How long requests with a blamed suspect are refused.
 QUARANTINE_S: Final = 600.0
 # How long ends are kept, and for how long a complete response speaks for the
 # parts of its prompt.
 MEMORY_S: Final = 60.0
 # How long an end and a complete response are reported to peers.
 REPORT_S: Final = 5.0
-# A complete response shortly before a part was blamed voids the verdict of a
+# A complete response shortly before a suspect was blamed voids the verdict of a
 # process that did not know of it.
 DISPUTE_S: Final = 5.0
 # An endpoint needs longer than this to start again under the same id.
@@ -36,7 +36,7 @@
 MAX_QUARANTINED: Final = 64
 MAX_ANSWERED: Final = 20_000
 # Longer ids are not tracked.
-MAX_PART_BYTES: Final = 64
+MAX_SUSPECT_BYTES: Final = 64
 
 
 class EndReport(msgspec.Struct, frozen=True, array_like=True):
@@ -52,14 +52,14 @@
 
     Attributes:
         ends: Recent ends under its own requests.
-        answer_age_s_by_part: Seconds since the last complete response, of
-            suspected and quarantined parts.
-        remaining_s_by_part: Seconds left of each quarantine.
+        answer_age_s_by_suspect: Seconds since the last complete response, of
+            mentioned and quarantined suspects.
+        remaining_s_by_suspect: Seconds left of each quarantine.
     """
 
     ends: tuple[EndReport, ...] = ()
-    answer_age_s_by_part: dict[str, float] = {}
-    remaining_s_by_part: dict[str, float] = {}
+    answer_age_s_by_suspect: dict[str, float] = {}
+    remaining_s_by_suspect: dict[str, float] = {}
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -82,10 +82,10 @@
 
 
 class Quarantine:
-    """The quarantined parts, and the evidence for further ones.
+    """The quarantined suspects, and the evidence for further ones.
 
     Attributes:
-        until_by_part: Monotonic time at which each quarantine ends.
+        until_by_suspect: Monotonic time at which each quarantine ends.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -93,206 +93,214 @@
         self._clock = clock
         self._ends: list[evidence.End] = []
         self._own_ends: list[evidence.End] = []
-        self._answered_at_by_part: collections.OrderedDict[str, float] = (
+        self._answered_at_by_suspect: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
         # Parts that reports mention, with the end of the time for which this
         # process reports its complete responses with them.
-        self._mentioned_until_by_part: dict[str, float] = {}
-        self.until_by_part: dict[str, float] = {}
+        self._mentioned_until_by_suspect: dict[str, float] = {}
+        self.until_by_suspect: dict[str, float] = {}
         self._listeners: list[Callable[[str, float], None]] = []
 
     def subscribe(self, listener: Callable[[str, float], None]) -> None:
-        """Call `listener(part, until)` for changes that this process saw.
+        """Call `listener(suspect, until)` for changes that this process saw.
 
-        These are parts blamed for ends under its own requests, and parts
+        These are suspects blamed for ends under its own requests, and suspects
         released by its own complete responses; `until` is 0 for the latter.
         """
         self._listeners.append(listener)
 
-    def find_quarantined(self, parts: tuple[str, ...]) -> str | None:
-        """Return the first quarantined part; None if there is none."""
-        if not self.until_by_part:
+    def find_quarantined(self, suspects: tuple[str, ...]) -> str | None:
+        """Return the first quarantined suspect; None if there is none."""
+        if not self.until_by_suspect:
             return None
         now = self._clock()
-        for part in parts:
-            if self.until_by_part.get(part, 0.0) > now:
-                return part
+        for suspect in suspects:
+            if self.until_by_suspect.get(suspect, 0.0) > now:
+                return suspect
         return None
 
     def count_quarantined(self) -> int:
-        """Return the number of quarantined parts."""
-        return len(self.until_by_part)
+        """Return the number of quarantined suspects."""
+        return len(self.until_by_suspect)
 
-    def compute_remaining(self, part: str) -> float:
-        """Return the seconds left of a part's quarantine."""
-        return max(0.0, self.until_by_part.get(part, 0.0) - self._clock())
+    def compute_remaining(self, suspect: str) -> float:
+        """Return the seconds left of a suspect's quarantine."""
+        return max(0.0, self.until_by_suspect.get(suspect, 0.0) - self._clock())
 
-    def is_suspect(self, parts: tuple[str, ...]) -> bool:
-        """Return whether endpoints ended under one of `parts` repeatedly."""
+    def is_suspect(self, suspects: tuple[str, ...]) -> bool:
+        """Return whether endpoints ended under one of `suspects` repeatedly."""
         answered_at = self._get_answered()
         return any(
-            evidence.compute_streak(part, self._ends, answered_at).rounds
+            evidence.compute_streak(suspect, self._ends, answered_at).rounds
             >= evidence.MIN_SUSPECT_ROUNDS
-            for part in parts
+            for suspect in suspects
         )
 
-    def record_answer(self, parts: tuple[str, ...]) -> None:
-        """Record a complete response to a request with `parts`."""
+    def record_answer(self, suspects: tuple[str, ...]) -> None:
+        """Record a complete response to a request with `suspects`."""
         now = self._clock()
-        for part in parts:
-            if len(part) > MAX_PART_BYTES:
+        for suspect in suspects:
+            if len(suspect) > MAX_SUSPECT_BYTES:
                 continue
-            was_quarantined = part in self.until_by_part
-            self._set_answered(part, now)
+            was_quarantined = suspect in self.until_by_suspect
+            self._set_answered(suspect, now)
             if was_quarantined:
-                self._notify(part, 0.0)
+                self._notify(suspect, 0.0)
 
-    def _set_answered(self, part: str, at: float) -> None:
-        """Record a complete response, which ends a part's quarantine."""
-        if at <= self._answered_at_by_part.get(part, float("-inf")):
+    def _set_answered(self, suspect: str, at: float) -> None:
+        """Record a complete response, which ends a suspect's quarantine."""
+        if at <= self._answered_at_by_suspect.get(suspect, float("-inf")):
             return
-        self._answered_at_by_part[part] = at
-        self._answered_at_by_part.move_to_end(part)
-        if len(self._answered_at_by_part) > MAX_ANSWERED:
-            self._answered_at_by_part.popitem(last=False)
-        until = self.until_by_part.get(part)
+        self._answered_at_by_suspect[suspect] = at
+        self._answered_at_by_suspect.move_to_end(suspect)
+        if len(self._answered_at_by_suspect) > MAX_ANSWERED:
+            self._answered_at_by_suspect.popitem(last=False)
+        until = self.until_by_suspect.get(suspect)
         if until is not None and at > until - QUARANTINE_S - DISPUTE_S:
-            del self.until_by_part[part]
-            self._mention(part)
-            logs.log_message("prompt part released", part=part)
+            del self.until_by_suspect[suspect]
+            self._mention(suspect)
+            logs.log_message("prompt part released", part=suspect)
 
-    def _notify(self, part: str, until: float) -> None:
+    def _notify(self, suspect: str, until: float) -> None:
         for listener in self._listeners:
-            listener(part, until)
+            listener(suspect, until)
 
     def record_end(self, endpoint: str, run: Run) -> None:
         """Record that an endpoint ended while `run` was in flight there."""
         now = self._clock()
-        exposures_by_part = {
-            part: evidence.Exposure(
-                part,
+        exposures_by_suspect = {
+            suspect: evidence.Exposure(
+                suspect,
                 position,
                 xxhash.xxh32_intdigest(run.request.encode()),
                 round(now - run.sent_at, 3),
                 run.has_output,
             )
-            for position, part in enumerate(run.parts)
-            if len(part) <= MAX_PART_BYTES
+            for position, suspect in enumerate(run.parts)
+            if len(suspect) <= MAX_SUSPECT_BYTES
         }
-        if not exposures_by_part:
+        if not exposures_by_suspect:
             return
-        end = evidence.End(endpoint, now, exposures_by_part)
+        end = evidence.End(endpoint, now, exposures_by_suspect)
         _add_end(self._own_ends, end)
         self._add_evidence(end)
         self._evaluate()
 
     def _add_evidence(self, end: evidence.End) -> bool:
         """Add an end; return whether it tells something new."""
-        for part in end.exposures_by_part:
-            self._mention(part)
+        for suspect in end.exposures_by_suspect:
+            self._mention(suspect)
         return _add_end(self._ends, end)
 
-    def _mention(self, part: str) -> None:
-        self._mentioned_until_by_part[part] = self._clock() + REPORT_S
+    def _mention(self, suspect: str) -> None:
+        self._mentioned_until_by_suspect[suspect] = self._clock() + REPORT_S
 
     def merge_report(self, report: Report) -> None:
         """Merge what a peer has reported."""
         now = self._clock()
-        for part, age_s in report.answer_age_s_by_part.items():
-            self._set_answered(part, now - age_s)
-        for part, remaining_s in report.remaining_s_by_part.items():
-            self.adopt(part, now + remaining_s, "peer")
+        for suspect, age_s in report.answer_age_s_by_suspect.items():
+            self._set_answered(suspect, now - age_s)
+        for suspect, remaining_s in report.remaining_s_by_suspect.items():
+            self.adopt(suspect, now + remaining_s, "peer")
         is_new = False
         for one in report.ends:
             is_new |= self._add_evidence(
                 evidence.End(
                     one.endpoint,
                     now - one.age_s,
-                    {exposure.part: exposure for exposure in one.exposures},
+                    {exposure.suspect: exposure for exposure in one.exposures},
                 )
             )
         if is_new:
             self._evaluate()
 
-    def adopt(self, part: str, until: float, source: str) -> None:
-        """Quarantine a part that another process has blamed.
+    def adopt(self, suspect: str, until: float, source: str) -> None:
+        """Quarantine a suspect that another process has blamed.
 
         Args:
-            part: Id of the part.
+            suspect: Id of the suspect.
             until: Monotonic time at which the quarantine ends.
             source: Where this process learned of it.
         """
-        if part in self.until_by_part or until <= self._clock():
+        if suspect in self.until_by_suspect or until <= self._clock():
             return
-        answered_at = self._answered_at_by_part.get(part, float("-inf"))
+        answered_at = self._answered_at_by_suspect.get(suspect, float("-inf"))
         if answered_at > until - QUARANTINE_S - DISPUTE_S:
-            # The peer releases the part when it hears of this response.
-            self._mention(part)
+            # The peer releases the suspect when it hears of this response.
+            self._mention(suspect)
             return
-        self._set_quarantined(part, until, source)
+        self._set_quarantined(suspect, until, source)
 
-    def _set_quarantined(self, part: str, until: float, source: str) -> None:
-        if len(self.until_by_part) >= MAX_QUARANTINED:
-            oldest = min(self.until_by_part, key=self.until_by_part.__getitem__)
-            del self.until_by_part[oldest]
-        self.until_by_part[part] = until
+    def _set_quarantined(self, suspect: str, until: float, source: str) -> None:
+        if len(self.until_by_suspect) >= MAX_QUARANTINED:
+            oldest = min(
+                self.until_by_suspect, key=self.until_by_suspect.__getitem__
+            )
+            del self.until_by_suspect[oldest]
+        self.until_by_suspect[suspect] = until
         logs.log_message(
             "prompt part quarantined",
-            part=part,
+            part=suspect,
             source=source,
             ends=[
                 end.endpoint
                 for end in self._ends
-                if part in end.exposures_by_part
+                if suspect in end.exposures_by_suspect
             ],
-            quarantined=len(self.until_by_part),
+            quarantined=len(self.until_by_suspect),
         )
 
     def _evaluate(self) -> None:
-        """Quarantine the parts that explain the known ends."""
+        """Quarantine the suspects that explain the known ends."""
         self._discard_old()
         now = self._clock()
-        for part in evidence.find_culprits(
-            self._ends, self._get_answered(), self.until_by_part
+        for suspect in evidence.find_culprits(
+            self._ends, self._get_answered(), self.until_by_suspect
         ):
-            self._set_quarantined(part, now + QUARANTINE_S, "evidence")
-            if any(part in end.exposures_by_part for end in self._own_ends):
-                self._notify(part, now + QUARANTINE_S)
+            self._set_quarantined(suspect, now + QUARANTINE_S, "evidence")
+            if any(
+                suspect in end.exposures_by_suspect for end in self._own_ends
+            ):
+                self._notify(suspect, now + QUARANTINE_S)
 
     def _discard_old(self) -> None:
         now = self._clock()
         for ends in (self._ends, self._own_ends):
             ends[:] = [end for end in ends if end.at > now - MEMORY_S]
-        for part, until in list(self.until_by_part.items()):
+        for suspect, until in list(self.until_by_suspect.items()):
             if until <= now:
-                del self.until_by_part[part]
-                logs.log_message("prompt part released", part=part)
-        for part, until in list(self._mentioned_until_by_part.items()):
+                del self.until_by_suspect[suspect]
+                logs.log_message("prompt part released", part=suspect)
+        for suspect, until in list(self._mentioned_until_by_suspect.items()):
             if until <= now:
-                del self._mentioned_until_by_part[part]
+                del self._mentioned_until_by_suspect[suspect]
 
     def _get_answered(self) -> Mapping[str, float]:
-        """Return recent complete responses of the parts under evidence."""
+        """Return recent complete responses of the suspects under evidence."""
         oldest = self._clock() - MEMORY_S
-        parts = {part for end in self._ends for part in end.exposures_by_part}
+        suspects = {
+            suspect
+            for end in self._ends
+            for suspect in end.exposures_by_suspect
+        }
         return {
-            part: self._answered_at_by_part[part]
-            for part in parts
-            if self._answered_at_by_part.get(part, 0.0) > oldest
+            suspect: self._answered_at_by_suspect[suspect]
+            for suspect in suspects
+            if self._answered_at_by_suspect.get(suspect, 0.0) > oldest
         }
 
     def build_report(self) -> Report:
         """Return what to tell the peers."""
         if not (
             self._own_ends
-            or self.until_by_part
-            or self._mentioned_until_by_part
+            or self.until_by_suspect
+            or self._mentioned_until_by_suspect
         ):
             return Report()
         self._discard_old()
         now = self._clock()
-        answered = self._answered_at_by_part
+        answered = self._answered_at_by_suspect
         return Report(
             tuple(
                 EndReport(
@@ -300,21 +308,21 @@
                     round(now - end.at, 2),
                     tuple(
                         exposure
-                        for part, exposure in end.exposures_by_part.items()
-                        if answered.get(part, 0.0) < end.at
+                        for exposure in end.exposures_by_suspect.values()
+                        if answered.get(exposure.suspect, 0.0) < end.at
                     )[:MAX_REPORTED_EXPOSURES],
                 )
                 for end in self._own_ends
                 if end.at > now - REPORT_S
             ),
             {
-                part: round(now - answered[part], 2)
-                for part in self._mentioned_until_by_part
-                if answered.get(part, 0.0) > now - MEMORY_S
+                suspect: round(now - answered[suspect], 2)
+                for suspect in self._mentioned_until_by_suspect
+                if answered.get(suspect, 0.0) > now - MEMORY_S
             },
             {
-                part: round(until - now, 1)
-                for part, until in self.until_by_part.items()
+                suspect: round(until - now, 1)
+                for suspect, until in self.until_by_suspect.items()
             },
         )
 
@@ -342,10 +350,10 @@
 
 
 def _merge_ends(known: evidence.End, other: evidence.End) -> evidence.End:
-    merged = dict(known.exposures_by_part)
-    for part, exposure in other.exposures_by_part.items():
-        previous = merged.get(part)
-        merged[part] = (
+    merged = dict(known.exposures_by_suspect)
+    for suspect, exposure in other.exposures_by_suspect.items():
+        previous = merged.get(suspect)
+        merged[suspect] = (
             exposure
             if previous is None
             else evidence.merge_exposures(previous, exposure)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -293,7 +293,7 @@
         self.assertLess(size, 4_000)
         for one in fleet.processes:
             self.assertLessEqual(
-                len(one.until_by_part), quarantine_lib.MAX_QUARANTINED
+                len(one.until_by_suspect), quarantine_lib.MAX_QUARANTINED
             )
 
 
