Refuse a request that has crashed endpoints again and again

Callers saw streams of all workspaces broken off (502) each time that one request came again: same workspace, path and body, a new request id. The rule allows three retries after the third.

Cause: quarantine blames parts of prompts only, and the parts of this request were shared with sound requests, whose complete responses cleared them. `attempt lost` shows one fingerprint under all ends.

A whole request, known by its fingerprint, is now a suspect beside the parts of its prompt, with the same evidence: ends one after the other at all gateways, cleared by a complete response to an identical request. Four ends in a row suffice (six if one was answered in the last minute). Differences from parts, each with a case or simulation: - Other ends meanwhile don't count against the verdict. With them, three such requests in turn would need twelve ends each. - With the same evidence, the request is blamed and not its parts. - An end under two such requests counts for both, and a part keeps the ends of a blamed request that has it, once two more ends speak against it. Otherwise one that comes with another needs as many ends again. Reports hold the likeliest causes first, as one end has more suspects now. Answers older than a minute are forgotten, as fingerprints are many.

The refusal is 503, which is true: this attempt was not sent. Retry-After is the rest of the quarantine; coming back sooner is in vain. Batch items have no fingerprint and stay owed.

Ruled out: 3 ends instead of 4 (a sound request that is lost twice and comes back would be blamed at the next loss); blaming a part only for ends without requests that ended others (in an outage, sound requests that come again hide the crashing part).

--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -9,6 +9,7 @@
 
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
+from eelgrassgate.quarantine import evidence
 
 # 64 bits of a cryptographic hash: a caller can't craft a request that is taken
 # for another one.
@@ -48,6 +49,10 @@
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ""
 
+    def list_suspects(self) -> tuple[str, ...]:
+        """Return what may be blamed if an endpoint ends under the call."""
+        return evidence.list_suspects(self.prompt_parts, self.fingerprint)
+
 
 def compute_fingerprint(call: Call, workspace: str) -> str:
     """Return a hash that tells a request that is sent again from others.
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -156,9 +156,11 @@
         service = _choose_service(route)
         excluded: set[str] = set()
         while True:
-            part = self._quarantine.find_quarantined(call.prompt_parts)
-            if part is not None:
-                await self._refuse_quarantined(call, part, progress, responder)
+            suspect = self._quarantine.find_quarantined(call.list_suspects())
+            if suspect is not None:
+                await self._refuse_quarantined(
+                    call, suspect, progress, responder
+                )
                 return
             choice = self._placement.choose_endpoint(
                 service, frozenset(excluded)
@@ -197,7 +199,7 @@
             excluded.add(choice.endpoint.id)
             can_retry = _can_retry(route, outcome, progress, call.deadline)
             if progress.has_endpoint_ended and self._quarantine.is_suspect(
-                call.prompt_parts
+                call.list_suspects()
             ):
                 # The request may have ended the endpoint, and would end the
                 # next one.
@@ -283,7 +285,7 @@
         if result is Result.DONE and status not in SERVER_ERROR_STATUSES:
             self._placement.record_success(endpoint, took_s)
             if status in SUCCESS_STATUSES:
-                self._quarantine.record_answer(call.prompt_parts)
+                self._quarantine.record_answer(call.list_suspects())
         elif status:
             # The endpoint responds with errors or refusals. Without a penalty,
             # its low load would attract more requests.
@@ -502,22 +504,20 @@
     async def _refuse_quarantined(
         self,
         call: calls.Call,
-        part: str,
+        suspect: str,
         progress: _Progress,
         responder: downstream.Responder,
     ) -> None:
         """Refuse a call that would crash the endpoint that runs it."""
         if progress.may_have_run:
-            await self._reply_failure(
-                call, progress, responder, "prompt part quarantined"
-            )
+            await self._reply_failure(call, progress, responder, "quarantined")
             return
-        retry_after_s = self._quarantine.compute_remaining(part)
+        retry_after_s = self._quarantine.compute_remaining(suspect)
         logs.log_message(
             "refused",
             id=call.id,
-            reason="prompt part quarantined",
-            part=part,
+            reason="quarantined",
+            suspect=suspect,
             return_ms=round(retry_after_s * deadlines.MS_PER_S),
         )
         await responder.reply(
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -92,7 +92,7 @@
         ).set_function(read_silence_s)
 
     def observe_quarantine(self, count_parts: Callable[[], int]) -> None:
-        """Show the number of quarantined prompt parts."""
+        """Show the number of quarantined prompt parts and requests."""
         prometheus_client.Gauge(
             "eelgrassgate_quarantined_parts",
             "Prompt parts that are kept from endpoints.",
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -76,7 +76,7 @@
         is_leaving: Whether the process is shutting down; peers then remove it
             as soon as its entry expires.
         config: Its configuration.
-        quarantine: Prompt parts that crash endpoints, and evidence for it.
+        quarantine: What crashes endpoints, and evidence for it.
         limits_by_endpoint: Versions and limits in requests a second of
             endpoints that name one; None for a limit that was lifted.
     """
@@ -494,7 +494,7 @@
         directory: The processes to send reports to.
         load_table: Requests in flight by endpoint.
         failures: Failure rates of endpoints.
-        quarantine: Prompt parts that crash endpoints.
+        quarantine: What crashes endpoints.
         is_store_reachable: Returns whether the store is directly reachable.
     """
     return Reports(
--- a/eelgrassgate/quarantine/evidence.py
+++ b/eelgrassgate/quarantine/evidence.py
@@ -1,11 +1,12 @@
-"""Infers from ended endpoints which prompt part crashes them.
-
-A suspect is a part of a prompt. It is blamed if it was in flight at several
-endpoints when they ended, one after the other, and no request with it has been
-answered completely since. One suspect explains an end: those of other requests
-at the same endpoints are not blamed for it. Endpoints that end together count
-once, since no request was sent to one of them because another had ended.
-Endpoints that end without the suspect meanwhile speak for an outage.
+"""Infers from ended endpoints which requests crash them.
+
+A suspect is a part of a prompt, or a whole request that comes again, known by
+its fingerprint. It is blamed if it was in flight at several endpoints when they
+ended, one after the other, and no request with it has been answered completely
+since. One suspect explains an end: those of other requests at the same
+endpoints are not blamed for it. Endpoints that end together count once, since
+no request was sent to one of them because another had ended. Endpoints that end
+without a part meanwhile speak for an outage.
 """
 
 import collections
@@ -23,24 +24,45 @@
 MIN_TRUSTED_ROUNDS: Final = 6
 # Consecutive ends after which a request with the suspect is not sent again.
 MIN_SUSPECT_ROUNDS: Final = 2
-# Different requests that must have been in flight at the ends. The end of a
-# single request's prompt may be the cause as well, and is never blamed.
+# Different request ids that must have been in flight at the ends for a part to
+# be blamed. With a single one, the rest of the request may be the cause.
 MIN_REQUESTS: Final = 2
-# Number of ends from which suspects that were in flight at exactly the same
-# ends are told apart by their position; below, further ends are awaited.
+# Number of ends from which parts that were in flight at exactly the same ends
+# are told apart by their position; below, further ends are awaited.
 MIN_TIED_ENDS: Final = 5
+# Begins the id of a whole request, so that it is never taken for a part's.
+REQUEST_PREFIX: Final = "request:"
+
+
+def list_suspects(parts: tuple[str, ...], fingerprint: str) -> tuple[str, ...]:
+    """Return what may be blamed for the end of a request's endpoint.
+
+    Args:
+        parts: Ids of the shared parts of its prompt.
+        fingerprint: Hash that identical requests share; empty for a request
+            that is not blamed as a whole.
+    """
+    if not fingerprint:
+        return parts
+    return *parts, REQUEST_PREFIX + fingerprint
+
+
+def is_whole_request(suspect: str) -> bool:
+    """Return whether a suspect is a request rather than a part of prompts."""
+    return suspect.startswith(REQUEST_PREFIX)
 
 
 class Exposure(msgspec.Struct, frozen=True, array_like=True):
     """A suspect in flight at an endpoint when the endpoint ended.
 
     Attributes:
-        suspect: Id of the prompt part.
-        position: Index of the suspect in its prompt.
+        suspect: Id of the prompt part or request.
+        position: Index of the part in its prompt; a request comes after all.
         request: Hash of the id of the request that was sent last.
         lead_s: Seconds from sending that request to the end.
         has_output: Whether all requests with the suspect had produced output at
             this endpoint.
+        parts: Ids of the parts of a whole request's prompt.
     """
 
     suspect: str
@@ -48,6 +70,7 @@
     request: int
     lead_s: float
     has_output: bool
+    parts: tuple[str, ...] = ()
 
 
 class End(msgspec.Struct, frozen=True):
@@ -95,8 +118,14 @@
     coverage: float
 
     def is_conclusive(self) -> bool:
-        """Return whether the ends suffice to blame the suspect."""
+        """Return whether the ends suffice to blame the suspect.
+
+        Other ends meanwhile don't speak for a whole request: an outage seldom
+        ends the endpoints of one request again and again.
+        """
         needed = MIN_TRUSTED_ROUNDS if self.is_trusted else MIN_ROUNDS
+        if is_whole_request(self.suspect):
+            return self.rounds >= needed
         return (
             self.rounds * self.coverage >= needed
             and len(self.requests) >= MIN_REQUESTS
@@ -177,15 +206,12 @@
     Args:
         ends: All known ends, in order of time.
         answered_at: Monotonic time of the last complete response by suspect.
-        convicted: Parts that are blamed already; they explain their ends.
+        convicted: Suspects that are blamed already; they explain their ends.
     """
     culprits: list[str] = []
     blamed = set(convicted)
     while True:
-        unexplained = [
-            end for end in ends if blamed.isdisjoint(end.exposures_by_suspect)
-        ]
-        culprit = _find_culprit(unexplained, answered_at)
+        culprit = _find_culprit(ends, answered_at, blamed)
         if culprit is None:
             return culprits
         culprits.append(culprit)
@@ -193,7 +219,9 @@
 
 
 def _find_culprit(
-    ends: Collection[End], answered_at: Mapping[str, float]
+    ends: Collection[End],
+    answered_at: Mapping[str, float],
+    blamed: Collection[str],
 ) -> str | None:
     """Return the suspect that explains most ends; None if that is unclear."""
     counts = collections.Counter(
@@ -202,9 +230,9 @@
     streaks = [
         streak
         for streak in (
-            compute_streak(suspect, ends, answered_at)
+            _compute_evidence(suspect, ends, answered_at, blamed)
             for suspect in sorted(counts)
-            if counts[suspect] >= MIN_ROUNDS
+            if counts[suspect] >= MIN_ROUNDS and suspect not in blamed
         )
         if streak.is_conclusive()
     ]
@@ -220,11 +248,62 @@
     ]
     if not tied:
         return best.suspect
-    # The later part of a prompt is the likelier cause: fewer requests share it.
-    is_later = all(other.position < best.position for other in tied)
-    is_enough = len(best.endpoints) >= MIN_TIED_ENDS
-    return best.suspect if is_enough and is_later else None
+    is_narrower = all(_get_scope(other) < _get_scope(best) for other in tied)
+    is_enough = (
+        is_whole_request(best.suspect) or len(best.endpoints) >= MIN_TIED_ENDS
+    )
+    return best.suspect if is_enough and is_narrower else None
+
+
+def _compute_evidence(
+    suspect: str,
+    ends: Collection[End],
+    answered_at: Mapping[str, float],
+    blamed: Collection[str],
+) -> Streak:
+    """Return the ends under a suspect that blamed ones don't explain.
+
+    If some are left, it may be to blame for others as well: a request for ends
+    under a blamed request, and a part for ends under a request that has it.
+    """
+    unexplained = [end for end in ends if not _list_exposures(end, blamed)]
+    streak = compute_streak(suspect, unexplained, answered_at)
+    is_request = is_whole_request(suspect)
+    if streak.rounds < MIN_SUSPECT_ROUNDS or not (
+        is_request or len(streak.requests) >= MIN_REQUESTS
+    ):
+        return streak
+    shared = [
+        end
+        for end in ends
+        if all(
+            is_whole_request(one.suspect)
+            and (is_request or suspect in one.parts)
+            for one in _list_exposures(end, blamed)
+        )
+    ]
+    return compute_streak(suspect, shared, answered_at)
 
 
-def _get_rank(streak: Streak) -> tuple[bool, int, int]:
-    return not streak.is_trusted, len(streak.endpoints), streak.position
+def _list_exposures(end: End, suspects: Collection[str]) -> list[Exposure]:
+    return [
+        exposure
+        for suspect, exposure in end.exposures_by_suspect.items()
+        if suspect in suspects
+    ]
+
+
+def _get_rank(streak: Streak) -> tuple[bool, int, tuple[bool, int]]:
+    return not streak.is_trusted, len(streak.endpoints), _get_scope(streak)
+
+
+def _get_scope(streak: Streak) -> tuple[bool, int]:
+    """Return a key that orders suspects from wide to narrow.
+
+    Among suspects with the same evidence, the narrower one is the likelier
+    cause. Fewer requests share a later part of a prompt; a whole request is
+    narrower than any part, and not comparable with other requests.
+    """
+    if is_whole_request(streak.suspect):
+        return True, 0
+    return False, streak.position
--- a/eelgrassgate/quarantine/quarantine.py
+++ b/eelgrassgate/quarantine/quarantine.py
@@ -1,9 +1,9 @@
-"""Quarantine of prompt parts that crash endpoints, shared by all processes.
+"""Quarantine of requests that crash endpoints, shared by all processes.
 
-Each process records the endpoints that ended under its requests and the parts
-of complete responses, and merges what its peers report. Quarantined parts are
-in every report, so that a process that has restarted learns of them from any
-peer.
+A suspect is a part of prompts or a whole request; see `evidence`. Each process
+records the endpoints that ended under its requests and the suspects of complete
+responses, and merges what its peers report. Quarantined suspects are in every
+report, so that a process that has restarted learns of them from any peer.
 """
 
 import collections
@@ -21,7 +21,7 @@
 # How long requests with a blamed suspect are refused.
 QUARANTINE_S: Final = 600.0
 # How long ends are kept, and for how long a complete response speaks for the
-# parts of its prompt.
+# suspects of its request.
 MEMORY_S: Final = 60.0
 # How long an end and a complete response are reported to peers.
 REPORT_S: Final = 5.0
@@ -154,13 +154,22 @@
             return
         self._answered_at_by_suspect[suspect] = at
         self._answered_at_by_suspect.move_to_end(suspect)
-        if len(self._answered_at_by_suspect) > MAX_ANSWERED:
-            self._answered_at_by_suspect.popitem(last=False)
+        self._discard_answered()
         until = self.until_by_suspect.get(suspect)
         if until is not None and at > until - QUARANTINE_S - DISPUTE_S:
             del self.until_by_suspect[suspect]
             self._mention(suspect)
-            logs.log_message("prompt part released", part=suspect)
+            _log_change("released", suspect)
+
+    def _discard_answered(self) -> None:
+        """Discard the oldest responses beyond the bounds on age and number."""
+        answered = self._answered_at_by_suspect
+        oldest = self._clock() - MEMORY_S
+        while answered and (
+            len(answered) > MAX_ANSWERED
+            or next(iter(answered.values())) < oldest
+        ):
+            answered.popitem(last=False)
 
     def _notify(self, suspect: str, until: float) -> None:
         for listener in self._listeners:
@@ -176,8 +185,11 @@
                 xxhash.xxh32_intdigest(run.request.encode()),
                 round(now - run.sent_at, 3),
                 run.has_output,
+                run.parts if evidence.is_whole_request(suspect) else (),
+            )
+            for position, suspect in enumerate(
+                evidence.list_suspects(run.parts, run.fingerprint)
             )
-            for position, suspect in enumerate(run.parts)
             if len(suspect) <= MAX_SUSPECT_BYTES
         }
         if not exposures_by_suspect:
@@ -239,9 +251,9 @@
             )
             del self.until_by_suspect[oldest]
         self.until_by_suspect[suspect] = until
-        logs.log_message(
-            "prompt part quarantined",
-            part=suspect,
+        _log_change(
+            "quarantined",
+            suspect,
             source=source,
             ends=[
                 end.endpoint
@@ -271,7 +283,7 @@
         for suspect, until in list(self.until_by_suspect.items()):
             if until <= now:
                 del self.until_by_suspect[suspect]
-                logs.log_message("prompt part released", part=suspect)
+                _log_change("released", suspect)
         for suspect, until in list(self._mentioned_until_by_suspect.items()):
             if until <= now:
                 del self._mentioned_until_by_suspect[suspect]
@@ -306,11 +318,7 @@
                 EndReport(
                     end.endpoint,
                     round(now - end.at, 2),
-                    tuple(
-                        exposure
-                        for exposure in end.exposures_by_suspect.values()
-                        if answered.get(exposure.suspect, 0.0) < end.at
-                    )[:MAX_REPORTED_EXPOSURES],
+                    self._list_likeliest_causes(end),
                 )
                 for end in self._own_ends
                 if end.at > now - REPORT_S
@@ -326,6 +334,31 @@
             },
         )
 
+    def _list_likeliest_causes(
+        self, end: evidence.End
+    ) -> tuple[evidence.Exposure, ...]:
+        """Return as many exposures as a report holds, likeliest first."""
+        answered = self._answered_at_by_suspect
+        exposures = sorted(
+            (
+                exposure
+                for exposure in end.exposures_by_suspect.values()
+                if answered.get(exposure.suspect, 0.0) < end.at
+            ),
+            key=lambda one: (
+                one.has_output,
+                not evidence.is_whole_request(one.suspect),
+            ),
+        )
+        return tuple(exposures[:MAX_REPORTED_EXPOSURES])
+
+
+def _log_change(change: str, suspect: str, **fields: object) -> None:
+    kind = "prompt part"
+    if evidence.is_whole_request(suspect):
+        kind = "request"
+    logs.log_message(f"{kind} {change}", suspect=suspect, **fields)
+
 
 def _add_end(ends: list[evidence.End], end: evidence.End) -> bool:
     """Add an end in order of time, or merge it with what is known of it.
--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -57,7 +57,9 @@
         unframed_end: How a response without length and chunks ends; None for
             framed responses.
         crashing_part: Id of the prompt part under which the endpoint ends as
-            soon as it has sent the head of its response.
+            soon as it has sent the head of its response; None for none.
+        crashing_body: Body of a request under which it ends likewise; None
+            for none.
     """
 
     events: int = 4
@@ -72,7 +74,8 @@
     endless_delay_s: float = 0.0
     limit_per_s: float | None = None
     unframed_end: UnframedEnd | None = None
-    crashing_part: str = ""
+    crashing_part: str | None = None
+    crashing_body: bytes | None = None
 
 
 class Run(msgspec.Struct):
@@ -182,7 +185,10 @@
             await self._send_unframed(run, headers, responder)
             return
         await responder.begin(OK_STATUS, headers)
-        if behavior.crashing_part and behavior.crashing_part in run.parts:
+        is_crashing = incoming.body == behavior.crashing_body or (
+            behavior.crashing_part in run.parts
+        )
+        if is_crashing:
             self._crash.set()
             await anyio.sleep_forever()
         for number in range(first, behavior.events + 1):
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,6 +14,9 @@
 # Requests with a part may reach endpoints until five have ended, and three
 # times more while all gateways learn of it.
 MAX_RUNS: Final = 5 + 3
+BODY: Final = b"crash"
+# A request may reach three endpoints, and three more after they have ended.
+MAX_RUNS_OF_REQUEST: Final = 3 + 3
 NAMES: Final = "abcdefghijklmnop"
 
 
@@ -47,6 +50,35 @@
                 self.assertEqual(sound.status, 200)
             self.assertLessEqual(count_crashing_runs(site.endpoints), MAX_RUNS)
 
+    async def test_one_request_does_not_crash_one_endpoint_after_the_other(
+        self,
+    ) -> None:
+        for path in ("/stream/a", "/resumable/a", "/plain/a"):
+            with self.subTest(path):
+                async with site_lib.open_site(*NAMES) as site:
+                    for one in site.endpoints:
+                        one.behavior = endpoint.Behavior(crashing_body=BODY)
+                    statuses = [
+                        (
+                            await site_lib.call(
+                                site.address,
+                                path,
+                                headers={"Prompt-Prefix": "a0:9,b0:9"},
+                                body=body,
+                                request_id=f"r{number}",
+                            )
+                        ).status
+                        for number, body in enumerate([BODY, b"sound"] * 8)
+                    ]
+                bodies = [
+                    run.incoming.body
+                    for one in site.endpoints
+                    for run in one.runs
+                ]
+                self.assertLessEqual(bodies.count(BODY), MAX_RUNS_OF_REQUEST)
+                self.assertEqual(statuses[-2:], [503, 200])
+                self.assertEqual(statuses[1::2], [200] * 8)
+
 
 class BatchTest(unittest.IsolatedAsyncioTestCase):
     async def test_items_do_not_crash_one_endpoint_after_the_other(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -150,6 +150,39 @@
         {},
         ["p", "q"],
     ),
+    Case(
+        "one request again and again",
+        repeat(4, Seen("p"), Seen("request:f", position=1)),
+        {},
+        ["request:f"],
+    ),
+    Case(
+        "three requests in turn",
+        [
+            (10.0 + number, (Seen("p"), Seen(f"request:{number % 3}")))
+            for number in range(12)
+        ],
+        {"p": 9.0},
+        ["request:0", "request:1", "request:2"],
+    ),
+    Case(
+        "two requests at the same ends",
+        repeat(4, Seen("request:f"), Seen("request:g", position=1)),
+        {},
+        [],
+    ),
+    Case(
+        "a request that comes again with a crashing part",
+        [*repeat(4, Seen("p"), Seen("request:f")), (20.0, (Seen("p"),))],
+        {},
+        ["p"],
+    ),
+    Case(
+        "identical requests answered before",
+        repeat(5, Seen("request:f")),
+        {"request:f": 9.0},
+        [],
+    ),
     Case(
         "a part at half of the ends",
         [*repeat(4, Seen("p")), *[(at + 0.5, ()) for at, _ in repeat(4)]],
@@ -368,6 +401,8 @@
         gateway: Index of its gateway.
         parts: Ids of the shared parts of its prompt.
         attempts: Number of attempts left.
+        fingerprint: What identical requests share.
+        returns: How often the caller still sends it again if it is lost.
         sent_at: Time of the current attempt.
     """
 
@@ -375,15 +410,21 @@
     gateway: int
     parts: tuple[str, ...]
     attempts: int
+    fingerprint: str
+    returns: int = 3
     sent_at: float = 0.0
 
+    def list_suspects(self) -> tuple[str, ...]:
+        return evidence.list_suspects(self.parts, self.fingerprint)
+
 
 class Simulation:
     """Gateways and endpoints under load; endpoints end at given times.
 
     A third of the requests share one part and one of 84 further ones, the
-    others one of 20 and one of 119. A response begins after `BEGIN_S` and is
-    complete after `RUN_S`. Reports take up to `REPORT_S`.
+    others one of 20 and one of 119; each tenth is one of three that are the
+    same each time. Callers send a lost request again. A response begins after
+    `BEGIN_S` and is complete after `RUN_S`. Reports take up to `REPORT_S`.
     """
 
     GATEWAYS: Final = 4
@@ -395,10 +436,17 @@
     DOWN_S: Final = 4.0
     LASTS_S: Final = 30.0
     CRASHING_PART: Final = "p"
+    RETURN_S: Final = 0.5
 
-    def __init__(self, seed: int, crashing_per_s: float = 0.0) -> None:
+    def __init__(
+        self, seed: int, crashing_per_s: float = 0.0, crashing_requests: int = 0
+    ) -> None:
         self._random = random.Random(seed)
         self._crashing_per_s = crashing_per_s
+        self._crashing = {
+            f"{evidence.REQUEST_PREFIX}x{number}"
+            for number in range(crashing_requests)
+        } or {self.CRASHING_PART}
         self.fleet = Fleet(self.GATEWAYS)
         self.started_at = self.fleet.clock.now
         self._events: list[tuple[float, int, Any]] = []
@@ -408,7 +456,9 @@
         self._running: list[dict[str, Request]] = [
             {} for _ in range(self.ENDPOINTS)
         ]
-        self.crashes: list[float] = []
+        self.crashes_by_suspect: dict[str, list[float]] = {
+            suspect: [] for suspect in self._crashing
+        }
         self.refused: dict[str, int] = {}
         self.served = 0
 
@@ -439,21 +489,31 @@
         now = self.fleet.clock.now
         draw = self._random
         number = next(self._numbers)
+        parts: tuple[str, ...]
         if draw.random() < 1 / 3:
             parts = ("a", f"b{draw.randrange(84)}")
             attempts = 1
         else:
             parts = (f"c{draw.randrange(20)}", f"d{draw.randrange(119)}")
             attempts = 2
+        fingerprint = str(number)
+        if number % 10 == 0:
+            parts, fingerprint = ("e",), f"poll{draw.randrange(3)}"
         gateway = draw.randrange(self.GATEWAYS)
-        self.send(Request(f"r{number}", gateway, parts, attempts))
+        self.send(Request(f"r{number}", gateway, parts, attempts, fingerprint))
         self.schedule(now + draw.expovariate(self.PER_S), self.arrive)
 
     def arrive_crashing(self) -> None:
         draw = self._random
+        number = next(self._numbers)
         parts = (f"c{draw.randrange(20)}", self.CRASHING_PART)
+        fingerprint = f"{self.CRASHING_PART}{number}"
+        if self.CRASHING_PART not in self._crashing:
+            index = draw.randrange(len(self._crashing))
+            parts = (f"c{index}", f"d{index}")
+            fingerprint = f"x{index}"
         gateway = draw.randrange(self.GATEWAYS)
-        self.send(Request(f"x{next(self._numbers)}", gateway, parts, 2))
+        self.send(Request(f"x{number}", gateway, parts, 2, fingerprint))
         self.schedule(
             self.fleet.clock.now + draw.expovariate(self._crashing_per_s),
             self.arrive_crashing,
@@ -462,22 +522,24 @@
     def send(self, request: Request) -> None:
         now = self.fleet.clock.now
         quarantine = self.fleet.processes[request.gateway]
-        part = quarantine.find_quarantined(request.parts)
-        if part is not None:
-            self.refused[part] = self.refused.get(part, 0) + 1
+        suspect = quarantine.find_quarantined(request.list_suspects())
+        if suspect is not None:
+            self.refused[suspect] = self.refused.get(suspect, 0) + 1
             return
         up = [
             one for one in range(self.ENDPOINTS) if self._down_until[one] <= now
         ]
         if not up or not request.attempts:
+            self.send_again(request)
             return
         endpoint = self._random.choice(up)
         request.attempts -= 1
         request.sent_at = now
         self._running[endpoint][request.id] = request
         incarnation = self._incarnations[endpoint]
-        if self.CRASHING_PART in request.parts:
-            end = self.make_end(endpoint, incarnation)
+        causes = self._crashing.intersection(request.list_suspects())
+        if causes:
+            end = self.make_end(endpoint, incarnation, *causes)
             self.schedule(now + self.BEGIN_S, end)
         else:
             self.schedule(
@@ -485,6 +547,22 @@
                 lambda: self.complete(endpoint, incarnation, request),
             )
 
+    def send_again(self, request: Request) -> None:
+        """Let the caller of a lost request send it to any gateway."""
+        if not request.returns:
+            return
+        returned = Request(
+            f"{request.id}-{request.returns}",
+            self._random.randrange(self.GATEWAYS),
+            request.parts,
+            2,
+            request.fingerprint,
+            request.returns - 1,
+        )
+        self.schedule(
+            self.fleet.clock.now + self.RETURN_S, lambda: self.send(returned)
+        )
+
     def complete(
         self, endpoint: int, incarnation: int, request: Request
     ) -> None:
@@ -493,9 +571,11 @@
         if self._running[endpoint].pop(request.id, None):
             self.served += 1
             quarantine = self.fleet.processes[request.gateway]
-            quarantine.record_answer(request.parts)
+            quarantine.record_answer(request.list_suspects())
 
-    def make_end(self, endpoint: int, incarnation: int | None = None) -> Any:
+    def make_end(
+        self, endpoint: int, incarnation: int | None = None, cause: str = ""
+    ) -> Any:
         def end() -> None:
             now = self.fleet.clock.now
             if self._down_until[endpoint] > now or incarnation not in {
@@ -503,8 +583,8 @@
                 self._incarnations[endpoint],
             }:
                 return
-            if incarnation is not None:
-                self.crashes.append(now)
+            if cause:
+                self.crashes_by_suspect[cause].append(now)
             name = f"e{endpoint}-{self._incarnations[endpoint]}"
             self._incarnations[endpoint] += 1
             self._down_until[endpoint] = now + self.DOWN_S
@@ -516,9 +596,12 @@
                     request.parts,
                     request.sent_at,
                     now > request.sent_at + self.BEGIN_S,
+                    request.fingerprint,
                 )
                 quarantine.record_end(name, run)
-                if not quarantine.is_suspect(request.parts):
+                if quarantine.is_suspect(request.list_suspects()):
+                    self.send_again(request)
+                else:
                     self.send(request)
 
         return end
@@ -526,7 +609,8 @@
 
 class SimulationTest(unittest.TestCase):
     SEEDS: Final = range(5)
-    # No more endpoints may end later than this after the fifth end.
+    # No more endpoints may end later than this after the fifth end under a
+    # part, or the third under one request.
     CONTACT_S: Final = 4.0
     MAX_LATE_RUNS: Final = 3
 
@@ -545,24 +629,35 @@
                     self.assertEqual(simulation.refused, {})
                     self.assertGreater(simulation.served, 100)
 
-    def test_only_the_crashing_part_is_blamed(self) -> None:
-        for name, per_s, outages in (
-            ("rare", 0.3, []),
-            ("as in the incident", 2.5, []),
-            ("frequent", 8.0, []),
-            ("beside an outage", 2.5, [(9.0 + n * 0.5, 0.2) for n in range(9)]),
+    def test_only_what_crashes_endpoints_is_blamed(self) -> None:
+        outage = [(9.0 + n * 0.5, 0.2) for n in range(9)]
+        for name, per_s, requests, outages in (
+            ("rare", 0.3, 0, []),
+            ("as in the incident", 2.5, 0, []),
+            ("frequent", 8.0, 0, []),
+            ("beside an outage", 2.5, 0, outage),
+            ("one request", 0.6, 1, []),
+            ("three requests", 1.5, 3, []),
+            ("two requests beside an outage", 2.5, 2, outage),
         ):
             for seed in self.SEEDS:
                 with self.subTest(name, seed=seed):
-                    simulation = Simulation(seed, per_s)
+                    simulation = Simulation(seed, per_s, requests)
                     simulation.run(*outages)
+                    # Each request with the crashing part crashes endpoints.
+                    blamed = {
+                        suspect
+                        for suspect in simulation.refused
+                        if not suspect.startswith("request:p")
+                    }
                     self.assertLessEqual(
-                        set(simulation.refused), {Simulation.CRASHING_PART}
+                        blamed, set(simulation.crashes_by_suspect)
                     )
-                    crashes = simulation.crashes
-                    late = [
-                        at
-                        for at in crashes[5:]
-                        if at > crashes[4] + self.CONTACT_S
-                    ]
-                    self.assertLessEqual(len(late), self.MAX_LATE_RUNS)
+                    first = 3 if requests else 5
+                    for crashes in simulation.crashes_by_suspect.values():
+                        late = [
+                            at
+                            for at in crashes[first:]
+                            if at > crashes[first - 1] + self.CONTACT_S
+                        ]
+                        self.assertLessEqual(len(late), self.MAX_LATE_RUNS)
