--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -95,7 +95,7 @@
         """Show the number of quarantined prompt parts and requests."""
         prometheus_client.Gauge(
             "eelgrassgate_quarantined_parts",
-            "Prompt parts that are kept from endpoints.",
+            "Prompt parts and requests that are kept from endpoints.",
             registry=self._registry,
         ).set_function(count_parts)
 
--- a/eelgrassgate/quarantine/storage.py
+++ b/eelgrassgate/quarantine/storage.py
@@ -1,4 +1,4 @@
-"""Keeps quarantined prompt parts in the key-value service.
+"""Keeps quarantined prompt parts and requests in the key-value service.
 
 They outlive a restart of all processes at once. A process reads them once when
 it starts; later ones arrive in the reports of its peers.
@@ -22,14 +22,14 @@
 
 
 class Entry(msgspec.Struct, frozen=True):
-    """A quarantined part and the wall-clock time in seconds of its end."""
+    """A quarantined suspect and the wall-clock time in seconds of its end."""
 
     part: str
     until: float
 
 
 class Storage:
-    """Reads and writes the quarantined parts."""
+    """Reads and writes the quarantined suspects."""
 
     def __init__(
         self, store: base.Store, quarantine: quarantine_lib.Quarantine
@@ -37,7 +37,7 @@
         """Initialize without reading; see `create_storage`."""
         self._store = store
         self._quarantine = quarantine
-        # Parts to write, with the end of their quarantine; 0 to delete them.
+        # Suspects to write, with the end of their quarantine; 0 to delete them.
         self._unsaved_until_by_part: dict[str, float] = {}
         self._has_unsaved = anyio.Event()
         quarantine.subscribe(self._save)
