Send no new request to endpoints whose responses say that they drain

Callers saw: requests that began after an endpoint had said in a response that it leaves still went there until its entry said so, which takes 1.5 s or more and never happens while the store is away. They could be cut when it exited.

Cause: only entries were read; `Server-Leaving` in responses was forwarded and ignored.

Change: the adapter decodes the header, gateway/draining.py knows the endpoints that drain by id and start time, from entries and responses alike, and placement and the choice for items leave them out. The mark counts as soon as a head is read, also that of a late response which is dropped. A request is checked again when it has a connection, and chooses another endpoint without counting an attempt or a failure. While a service has no endpoint left, requests are refused at once, and their return is spread over 1.2 s instead of fixed at 0.2 s. An entry that says ready again for the same start no longer lifts what was known.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -9,6 +9,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import idle_timeout
@@ -34,6 +35,7 @@
             retried.
         NOT_RUN: The endpoint responded that it did not run the item.
         NOT_SENT: The endpoint was unreachable; nothing was sent.
+        WITHDRAWN: The endpoint began to drain before anything was sent.
         BROKEN: The response was incomplete or invalid; a retry may succeed.
     """
 
@@ -42,6 +44,7 @@
     IMPOSSIBLE = "impossible"
     NOT_RUN = "not_run"
     NOT_SENT = "not_sent"
+    WITHDRAWN = "withdrawn"
     BROKEN = "broken"
 
 
@@ -81,6 +84,7 @@
     progress: Progress,
     record_activity: Callable[[], None],
     endpoint_limits: endpoint_limits_lib.EndpointLimits,
+    draining: draining_lib.DrainingEndpoints,
 ) -> tuple[Outcome, str]:
     """Run an item until it ends or the run fails; updates `progress`.
 
@@ -90,6 +94,14 @@
     Returns:
         The outcome and its reason.
     """
+
+    def check_head(head: upstream.Head) -> bool:
+        info = dialect.read_response_info(head, call.id)
+        if info.is_draining:
+            # Late responses to other requests count as well.
+            draining.record_response(endpoint)
+        return info.is_for_request
+
     call = _build_call(dialect, progress.item, host, deadline)
     attempt = calls.Attempt(
         endpoint.id, workspace, deadline, progress.last_event or None
@@ -99,13 +111,9 @@
     try:
         async with pool.use(endpoint.address) as connection:
             connection.on_receive = record_activity
+            draining.check(endpoint)
             with idle_timeout.fail_when_idle(IDLE_TIMEOUT_S) as reset_timeout:
-                await connection.start(
-                    request,
-                    lambda head: (
-                        dialect.read_response_info(head, call.id).is_for_request
-                    ),
-                )
+                await connection.start(request, check_head)
                 info = dialect.read_response_info(connection.head, call.id)
                 if not info.is_misdirected:
                     endpoint_limits.record_response(
@@ -117,6 +125,8 @@
     except upstream.ExchangeError as error:
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
         return outcome, str(error)
+    except draining_lib.EndpointDrainingError as error:
+        return Outcome.WITHDRAWN, str(error)
     except TimeoutError:
         return Outcome.BROKEN, "idle timeout"
 
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -525,6 +525,7 @@
                     run.progress,
                     record_activity,
                     self._placement.endpoint_limits,
+                    self._placement.draining,
                 )
                 if outcome is items.Outcome.BROKEN:
                     await self._check_endpoint(
@@ -586,6 +587,7 @@
             limit_per_s=self._placement.endpoint_limits.get_limit(
                 run.endpoint.id
             ),
+            draining_ms=self._placement.draining.get_age_ms(run.endpoint),
         )
         self._metrics.count_run(
             "gave way" if run.is_preempted else outcome.value
@@ -614,7 +616,7 @@
                 return
         if outcome is items.Outcome.NOT_RUN:
             self._placement.record_error(run.endpoint)
-        if not is_cancelled:
+        if not is_cancelled and outcome is not items.Outcome.WITHDRAWN:
             self._paused_until_by_item[progress.item.id] = deadlines.after(
                 min(
                     MAX_RETRY_DELAY_S,
--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -71,6 +71,7 @@
             application.
         limit_per_s: Requests a second that the endpoint takes from all callers
             together; None if it names no limit.
+        is_draining: Whether the endpoint drains: it takes no new requests.
     """
 
     is_for_request: bool
@@ -78,6 +79,7 @@
     is_misdirected: bool
     is_signed: bool
     limit_per_s: float | None = None
+    is_draining: bool = False
 
 
 class Dialect(Protocol):
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining
 from eelgrassgate.gateway import load_shedding
 from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
@@ -57,12 +58,14 @@
     Attributes:
         DONE: A response was forwarded to the caller.
         NOT_SENT: The endpoint was unreachable; nothing was sent.
+        WITHDRAWN: The endpoint began to drain before anything was sent.
         NOT_RUN: The endpoint responded that it did not run the request.
         LOST: No usable response was received; the request may have run.
     """
 
     DONE = "done"
     NOT_SENT = "not_sent"
+    WITHDRAWN = "withdrawn"
     NOT_RUN = "not_run"
     LOST = "lost"
 
@@ -83,6 +86,8 @@
             while the attempt was in flight.
         has_output: Whether the current attempt has produced output: an event
             of a stream, or a byte of another body.
+        is_draining: Whether the response of the current attempt states that
+            its endpoint drains.
         last_event: Id of the last stream event sent to the caller.
         failure: An endpoint's error response, kept while others are tried.
     """
@@ -93,6 +98,7 @@
     is_in_flight: bool = False
     has_endpoint_ended: bool = False
     has_output: bool = False
+    is_draining: bool = False
     last_event: str | None = None
     failure: tuple[upstream.Head, bytes] | None = None
 
@@ -164,8 +170,11 @@
                 # Retry at the same endpoint if there is no other.
                 choice = self._placement.choose_endpoint(service)
             if choice is None:
+                return_after_s = RETRY_AFTER_S
+                if not self._placement.get_endpoints(service):
+                    return_after_s = load_shedding.compute_absence_delay()
                 await self._reply_failure(
-                    call, progress, responder, "no endpoint"
+                    call, progress, responder, "no endpoint", return_after_s
                 )
                 return
             retry_after_s = load_shedding.compute_retry_delay(
@@ -217,6 +226,8 @@
         started_at = deadlines.now()
         progress.has_endpoint_ended = False
         progress.has_output = False
+        progress.is_draining = False
+        had_begun = responder.has_begun
         reason = ""
         result = Result.LOST
         status = 0
@@ -233,10 +244,12 @@
                     self._loads.request_urgent_report()
                 async with self._pool.use(endpoint.address) as connection:
                     connection.on_receive = record_activity
+                    self._placement.draining.check(endpoint)
                     result = await self._exchange(
                         connection,
                         call,
                         route,
+                        endpoint,
                         attempt,
                         responder,
                         progress,
@@ -259,6 +272,9 @@
                         endpoint, run, self._quarantine, self._metrics
                     )
                 )
+        except draining.EndpointDrainingError as error:
+            reason = str(error)
+            result = Result.WITHDRAWN
         except TimeoutError:
             reason = "idle timeout"
             self._placement.record_unreachable(endpoint)
@@ -266,7 +282,9 @@
             # The deadline passed or the caller disconnected; log the attempt
             # nevertheless.
             took_s = deadlines.now() - started_at
-            self._log_attempt(call, endpoint, CANCELLED, status, "", took_s)
+            self._log_attempt(
+                call, endpoint, progress, CANCELLED, status, "", took_s
+            )
             if (
                 not progress.may_have_run
                 and took_s > placement_lib.UNRESPONSIVE_AFTER_S
@@ -275,6 +293,9 @@
                 # response if the endpoint responded to others meanwhile.
                 self._placement.record_error(endpoint)
             raise
+        finally:
+            if progress.is_draining and responder.has_begun and not had_begun:
+                self._metrics.count_draining_response()
         took_s = deadlines.now() - started_at
         if result is Result.DONE and status not in SERVER_ERROR_STATUSES:
             self._placement.record_success(endpoint, took_s)
@@ -284,7 +305,9 @@
             # The endpoint responds with errors or refusals. Without a penalty,
             # its low load would attract more requests.
             self._placement.record_error(endpoint)
-        self._log_attempt(call, endpoint, result.value, status, reason, took_s)
+        self._log_attempt(
+            call, endpoint, progress, result.value, status, reason, took_s
+        )
         self._metrics.count_attempt(endpoint.service, result.value)
         _record_result(progress, result)
         is_broken = responder.has_begun and result is not Result.DONE
@@ -296,6 +319,7 @@
         self,
         call: calls.Call,
         endpoint: catalog.Endpoint,
+        progress: _Progress,
         result: str,
         status: int,
         reason: str,
@@ -311,6 +335,8 @@
             reason=reason,
             took_ms=round(took_s * deadlines.MS_PER_S),
             limit_per_s=self._placement.endpoint_limits.get_limit(endpoint.id),
+            is_draining=progress.is_draining,
+            draining_ms=self._placement.draining.get_age_ms(endpoint),
         )
 
     async def _exchange(
@@ -318,6 +344,7 @@
         connection: upstream.Connection,
         call: calls.Call,
         route: catalog.Route,
+        endpoint: catalog.Endpoint,
         attempt: calls.Attempt,
         responder: downstream.Responder,
         progress: _Progress,
@@ -329,22 +356,24 @@
             upstream.ExchangeError: The exchange failed.
             TimeoutError: The endpoint exceeded the idle timeout.
         """
+
+        def check_head(head: upstream.Head) -> bool:
+            info = self._dialect.read_response_info(head, call.id)
+            if info.is_draining:
+                # Late responses to other requests count as well.
+                self._placement.draining.record_response(endpoint)
+                progress.is_draining |= info.is_for_request
+            return info.is_for_request
+
         request = self._dialect.write_attempt(call, attempt)
         progress.is_in_flight = True
         sent_at = deadlines.now()
         with idle_timeout.fail_when_idle(idle_timeout_s):
-            await connection.start(
-                request,
-                lambda head: (
-                    self._dialect.read_response_info(
-                        head, call.id
-                    ).is_for_request
-                ),
-            )
+            await connection.start(request, check_head)
         info = self._dialect.read_response_info(connection.head, call.id)
         if not info.is_misdirected:
             self._placement.endpoint_limits.record_response(
-                attempt.endpoint, info.limit_per_s, sent_at
+                endpoint.id, info.limit_per_s, sent_at
             )
         if info.has_not_run:
             progress.is_in_flight = False
@@ -526,6 +555,7 @@
         progress: _Progress,
         responder: downstream.Responder,
         reason: str,
+        retry_after_s: float = RETRY_AFTER_S,
     ) -> None:
         """Respond to a call that no endpoint completed."""
         logs.log_message(
@@ -539,6 +569,8 @@
             raise IncompleteResponseError(reason)
         if progress.failure is not None:
             head, body = progress.failure
+            if self._dialect.read_response_info(head, call.id).is_draining:
+                self._metrics.count_draining_response()
             headers = self._dialect.filter_response_headers(head)
             await responder.reply(head.status, headers, body)
         elif progress.may_have_run or progress.is_in_flight:
@@ -546,14 +578,14 @@
             await responder.reply(GATEWAY_TIMEOUT if is_late else BAD_GATEWAY)
         else:
             await responder.reply(
-                UNAVAILABLE, self._dialect.write_refusal_headers(RETRY_AFTER_S)
+                UNAVAILABLE, self._dialect.write_refusal_headers(retry_after_s)
             )
 
 
 def _record_result(progress: _Progress, result: Result) -> None:
     if result in {Result.NOT_RUN, Result.NOT_SENT}:
         progress.unexecuted_tries += 1
-    if result is not Result.NOT_SENT:
+    if result not in {Result.NOT_SENT, Result.WITHDRAWN}:
         progress.attempts += 1
     if result is Result.LOST:
         progress.may_have_run = True
@@ -570,7 +602,7 @@
         return False
     if progress.unexecuted_tries > MAX_UNEXECUTED_TRIES:
         return False
-    if result is Result.NOT_SENT:
+    if result in {Result.NOT_SENT, Result.WITHDRAWN}:
         return True
     if result is Result.LOST and not route.is_idempotent():
         return False
--- a/eelgrassgate/gateway/load_shedding.py
+++ b/eelgrassgate/gateway/load_shedding.py
@@ -15,6 +15,8 @@
 # Retries are spread over this time after a slot is expected to be free; callers
 # that retry at the same time within a peak would be refused again.
 RETRY_SPREAD_S: Final = 1.2
+# Least time after which callers return to a service without endpoints.
+MIN_ABSENCE_S: Final = 0.2
 
 
 def compute_retry_delay(
@@ -34,3 +36,16 @@
     if not limit_wait_s and wait_s <= objective_s * MAX_WAIT_OBJECTIVES:
         return None
     return max(wait_s, limit_wait_s) + draw() * RETRY_SPREAD_S
+
+
+def compute_absence_delay(
+    draw: Callable[[], float] = random.random,
+) -> float:
+    """Return the retry delay while a service has no endpoint.
+
+    Spread, so that the first new endpoint does not get all retries at once.
+
+    Args:
+        draw: Returns a random number between 0 and 1.
+    """
+    return MIN_ABSENCE_S + draw() * RETRY_SPREAD_S
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -54,6 +54,11 @@
             ("service",),
             registry=self._registry,
         )
+        self._draining_responses = prometheus_client.Counter(
+            "eelgrassgate_draining_responses",
+            "Forwarded responses that state that their endpoint drains.",
+            registry=self._registry,
+        )
         self._runs = prometheus_client.Counter(
             "eelgrassgate_item_runs",
             "Runs of batch items by result.",
@@ -107,6 +112,14 @@
             registry=self._registry,
         ).set_function(count_limited)
 
+    def observe_draining(self, count_draining: Callable[[], int]) -> None:
+        """Show the number of endpoints that drain."""
+        prometheus_client.Gauge(
+            "eelgrassgate_draining_endpoints",
+            "Endpoints that drain and get no new requests.",
+            registry=self._registry,
+        ).set_function(count_draining)
+
     def count_request(self, workspace: str, route: str, status: int) -> None:
         """Count a request by its response status."""
         self._requests.labels(
@@ -131,6 +144,10 @@
         """Count a lost attempt whose endpoint has ended."""
         self._endpoint_ends.labels(self._get_label_value(service)).inc()
 
+    def count_draining_response(self) -> None:
+        """Count a forwarded response that states that its endpoint drains."""
+        self._draining_responses.inc()
+
     def count_run(self, result: str) -> None:
         """Count a run of a batch item."""
         self._runs.labels(result).inc()
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -14,6 +14,7 @@
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import config_sync
 from eelgrassgate.gateway import discovery as discovery_lib
+from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
@@ -132,10 +133,13 @@
         self.reports.set_limits_source(self.endpoint_limits.list_limits)
         self.reports.subscribe(self.endpoint_limits)
         self.metrics.observe_endpoint_limits(self.endpoint_limits.count_limited)
+        self.draining = draining_lib.create_draining_endpoints()
+        self.metrics.observe_draining(self.draining.count)
         self.placement = placement_lib.create_placement(
             self.loads,
             self.failures,
             self.endpoint_limits,
+            self.draining,
             node_settings.zone,
             node_settings.region_by_zone,
         )
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -12,6 +12,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
 from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
@@ -70,6 +71,7 @@
 
     Attributes:
         endpoint_limits: The limits that endpoints have named.
+        draining: The endpoints that drain; they get no new requests.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         load_table: loads.Loads,
         failures: failures_lib.Failures,
         endpoint_limits: endpoint_limits_lib.EndpointLimits,
+        draining: draining_lib.DrainingEndpoints,
         zone: str,
         region_by_zone: Mapping[str, str],
         clock: Callable[[], float],
@@ -85,12 +88,15 @@
         self._loads = load_table
         self._failures = failures
         self.endpoint_limits = endpoint_limits
+        self.draining = draining
         self._are_all_limited_by_service: dict[str, bool] = {}
         self._limits_version = 0
         self._zone = zone
         self._region_by_zone = region_by_zone
         self._clock = clock
+        self._endpoints_by_id: Mapping[str, catalog.Endpoint] = {}
         self._endpoints_by_service: dict[str, list[catalog.Endpoint]] = {}
+        draining.subscribe(self._group_endpoints)
         self._backoffs_by_endpoint: dict[str, _Backoff] = {}
         self._request_duration_s_by_service: dict[str, float] = {}
         self._in_flight_by_endpoint: dict[str, int] = {}
@@ -98,19 +104,25 @@
 
     def set_endpoints(self, endpoints: Mapping[str, catalog.Endpoint]) -> None:
         """Replace the endpoints; draining ones get no new requests."""
-        endpoints_by_service: dict[str, list[catalog.Endpoint]] = {}
-        for endpoint in endpoints.values():
-            if not endpoint.is_draining:
-                endpoints_by_service.setdefault(endpoint.service, []).append(
-                    endpoint
-                )
-        self._endpoints_by_service = endpoints_by_service
+        self._endpoints_by_id = dict(endpoints)
+        self.draining.set_endpoints(endpoints)
+        self._group_endpoints()
         for name in list(self._backoffs_by_endpoint):
             if name not in endpoints:
                 del self._backoffs_by_endpoint[name]
         self._failures.retain_endpoints(endpoints)
         self.endpoint_limits.retain_endpoints(endpoints)
 
+    def _group_endpoints(self) -> None:
+        """Group the endpoints that accept new requests by service."""
+        self._endpoints_by_service = {}
+        self._are_all_limited_by_service.clear()
+        for endpoint in self._endpoints_by_id.values():
+            if not self.draining.is_draining(endpoint):
+                self._endpoints_by_service.setdefault(
+                    endpoint.service, []
+                ).append(endpoint)
+
     def get_endpoints(self, service: str) -> list[catalog.Endpoint]:
         """Return the endpoints of a service that accept new requests."""
         return self._endpoints_by_service.get(service, [])
@@ -285,6 +297,7 @@
     load_table: loads.Loads,
     failures: failures_lib.Failures,
     endpoint_limits: endpoint_limits_lib.EndpointLimits,
+    draining: draining_lib.DrainingEndpoints,
     zone: str,
     region_by_zone: Mapping[str, str],
     clock: Callable[[], float] = deadlines.now,
@@ -295,10 +308,17 @@
         load_table: Requests in flight by endpoint.
         failures: Failure rates of endpoints.
         endpoint_limits: The limits that endpoints have named.
+        draining: The endpoints that drain.
         zone: Availability zone of this process.
         region_by_zone: Region of each availability zone.
         clock: Returns seconds on a monotonic clock.
     """
     return Placement(
-        load_table, failures, endpoint_limits, zone, region_by_zone, clock
+        load_table,
+        failures,
+        endpoint_limits,
+        draining,
+        zone,
+        region_by_zone,
+        clock,
     )
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -25,6 +25,8 @@
 # Requests a second that the endpoint takes from all callers together, for as
 # long as its responses have the header.
 SERVER_LIMIT: Final = b"server-limit"
+# Set to 1 in all responses of an endpoint that drains.
+SERVER_LEAVING: Final = b"server-leaving"
 LAST_EVENT_ID: Final = b"last-event-id"
 RETRY_AFTER: Final = b"retry-after"
 # Milliseconds that a caller waits for a new result of a job (long polling).
@@ -129,6 +131,7 @@
             is_misdirected,
             head.get(SIGNATURE) is not None,
             _parse_limit(head.get(SERVER_LIMIT)),
+            (head.get(SERVER_LEAVING) or b"").strip() == b"1",
         )
 
     def filter_response_headers(self, head: upstream.Head) -> upstream.Headers:
--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -49,6 +49,7 @@
         is_unsigned: Whether responses lack the checksum.
         has_late_response: Whether a late response to another request
             precedes the next response.
+        late_headers: Header lines of that late response.
         endless: Bytes to send first, and bytes to send then again and again
             until the caller closes; None for complete responses.
         endless_delay_s: Delay before each of the repeated bytes.
@@ -56,6 +57,7 @@
             for none.
         unframed_end: How a response without length and chunks ends; None for
             framed responses.
+        is_draining: Whether all responses state that the endpoint drains.
         crashing_part: Id of the prompt part under which the endpoint ends as
             soon as it has sent the head of its response.
     """
@@ -68,10 +70,12 @@
     is_unresponsive: bool = False
     is_unsigned: bool = False
     has_late_response: bool = False
+    late_headers: bytes = b""
     endless: tuple[bytes, bytes] | None = None
     endless_delay_s: float = 0.0
     limit_per_s: float | None = None
     unframed_end: UnframedEnd | None = None
+    is_draining: bool = False
     crashing_part: str = ""
 
 
@@ -148,12 +152,15 @@
     ) -> None:
         behavior = self.behavior
         call = incoming.get(b"request-id") or b""
+        common = [(b"server-leaving", b"1")] if behavior.is_draining else []
         expected = incoming.get(b"expect-instance")
         if expected is not None and expected.decode() != self.name:
-            await responder.reply(MISDIRECTED_STATUS)
+            await responder.reply(MISDIRECTED_STATUS, common)
             return
         if behavior.is_overloaded:
-            await responder.reply(UNAVAILABLE_STATUS, [(b"not-executed", b"1")])
+            await responder.reply(
+                UNAVAILABLE_STATUS, [*common, (b"not-executed", b"1")]
+            )
             return
         if behavior.endless is not None:
             await self._send_endless(*behavior.endless, responder)
@@ -163,7 +170,7 @@
         self.runs.append(run)
         if behavior.is_unresponsive:
             await anyio.sleep_forever()
-        headers = [(b"request-id", call)]
+        headers = [*common, (b"request-id", call)]
         if not behavior.is_unsigned:
             headers.append((b"response-signature", _sign(incoming.body)))
         if behavior.limit_per_s is not None:
@@ -176,7 +183,8 @@
             behavior.has_late_response = False
             await responder.send_raw(
                 b"HTTP/1.1 200 OK\r\nrequest-id: another\r\n"
-                b"content-length: 4\r\n\r\nlate"
+                + behavior.late_headers
+                + b"content-length: 4\r\n\r\nlate"
             )
         if behavior.unframed_end is not None:
             await self._send_unframed(run, headers, responder)
@@ -206,7 +214,7 @@
     ) -> None:
         """Send a response that ends with its connection."""
         behavior = self.behavior
-        lines = b"".join(b"%b: %b\r\n" % header for header in headers)
+        lines = _write_headers(headers)
         await responder.send_raw(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n")
         last = behavior.events
         if behavior.unframed_end is not UnframedEnd.CLOSE:
@@ -252,6 +260,10 @@
     return b"".join(write_event(number) for number in range(1, events + 1))
 
 
+def _write_headers(headers: list[tuple[bytes, bytes]]) -> bytes:
+    return b"".join(b"%b: %b\r\n" % header for header in headers)
+
+
 def _sign(body: bytes) -> bytes:
     return hashlib.sha256(body).hexdigest()[:8].encode()
 
--- a/tests/load_peaks.py
+++ b/tests/load_peaks.py
@@ -14,6 +14,7 @@
 
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining
 from eelgrassgate.gateway import load_shedding
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.peering import failures
@@ -86,6 +87,7 @@
             self._tables[number],
             failures.create_failures(clock=self._get_now),
             site_lib.make_endpoint_limits(clock=self._get_now),
+            draining.create_draining_endpoints(self._get_now),
             ZONES[number % 6],
             REGION_BY_ZONE,
             self._get_now,
--- a/tests/site.py
+++ b/tests/site.py
@@ -14,6 +14,7 @@
 from eelgrassgate.batches import intake
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining
 from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import forwarding
 from eelgrassgate.gateway import metrics as metrics_lib
@@ -216,6 +217,7 @@
             self.loads,
             self.failures,
             make_endpoint_limits(),
+            draining.create_draining_endpoints(),
             "z1",
             {"z1": "r1", "z2": "r1", "z3": "r2"},
         )
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -18,6 +18,7 @@
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.http1 import upstream
@@ -315,6 +316,7 @@
             self.loads,
             failures.create_failures(),
             site_lib.make_endpoint_limits(registry.Role.BATCH),
+            draining.create_draining_endpoints(),
             "z1",
             {"z1": "r1"},
         )
@@ -625,6 +627,7 @@
                     table,
                     failures.create_failures(),
                     site_lib.make_endpoint_limits(registry.Role.BATCH),
+                    draining.create_draining_endpoints(),
                     "z1",
                     {"z1": "r1", "z2": "r1", "z3": "r2"},
                 )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from eelgrassgate import outcomes
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import rate_share
 from eelgrassgate.gateway import rates as rates_lib
@@ -40,6 +41,7 @@
         table,
         seen,
         site_lib.make_endpoint_limits(clock=clock),
+        draining.create_draining_endpoints(clock),
         "z1",
         ZONES,
         clock,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -14,6 +14,7 @@
 from eelgrassgate.engine import http as engine_http
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
 from eelgrassgate.platform import dialect
@@ -194,6 +195,7 @@
                     items.Progress(item),
                     lambda: None,
                     site_lib.make_endpoint_limits(),
+                    draining.create_draining_endpoints(),
                 )
             with anyio.move_on_after(MAX_CLOSE_S):
                 while server.endless_calls:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -233,6 +233,22 @@
                 info = dialect.PlatformDialect().read_response_info(head, "r")
                 self.assertEqual(info.limit_per_s, expected)
 
+    def test_response_of_a_draining_endpoint(self) -> None:
+        for headers, expected in (
+            ((), False),
+            (((b"server-leaving", b"1"),), True),
+            (((b"server-leaving", b" 1 "),), True),
+            (((b"server-leaving", b"0"),), False),
+            (((b"server-leaving", b""),), False),
+            (((b"connection", b"close"),), False),
+        ):
+            for status in (200, 421, 500, 503):
+                with self.subTest(headers, status=status):
+                    info = dialect.PlatformDialect().read_response_info(
+                        upstream.Head(status, headers), "r"
+                    )
+                    self.assertEqual(info.is_draining, expected)
+
     def test_invalid_headers(self) -> None:
         for value in (b"", b"x", b"-5", b"1.5"):
             call = self.read((b"time-remaining", value))
