--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -109,19 +109,22 @@
     request = dialect.write_attempt(call, attempt)
     sent_at = deadlines.now()
     try:
-        async with pool.use(endpoint.address) as connection:
-            connection.on_receive = record_activity
-            draining.check(endpoint)
-            with idle_timeout.fail_when_idle(IDLE_TIMEOUT_S) as reset_timeout:
-                await connection.start(request, check_head)
-                info = dialect.read_response_info(connection.head, call.id)
-                if not info.is_misdirected:
-                    endpoint_limits.record_response(
-                        endpoint.id, info.limit_per_s, sent_at
+        with draining.watch(endpoint) as end_watch:
+            async with pool.use(endpoint.address) as connection:
+                connection.on_receive = record_activity
+                end_watch()
+                with idle_timeout.fail_when_idle(
+                    IDLE_TIMEOUT_S
+                ) as reset_timeout:
+                    await connection.start(request, check_head)
+                    info = dialect.read_response_info(connection.head, call.id)
+                    if not info.is_misdirected:
+                        endpoint_limits.record_response(
+                            endpoint.id, info.limit_per_s, sent_at
+                        )
+                    return await _read_response(
+                        info, connection, reset_timeout, progress
                     )
-                return await _read_response(
-                    info, connection, reset_timeout, progress
-                )
     except upstream.ExchangeError as error:
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
         return outcome, str(error)
--- a/eelgrassgate/gateway/draining.py
+++ b/eelgrassgate/gateway/draining.py
@@ -6,10 +6,14 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+import contextlib
 import enum
 from typing import Final
 
+import anyio
+
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.gateway import catalog
@@ -49,6 +53,7 @@
         self._known_since_by_start: dict[_Start, float] = {}
         # Only of endpoints without an entry.
         self._forget_at_by_start: dict[_Start, float] = {}
+        self._watches: set[tuple[_Start, anyio.CancelScope]] = set()
         self._listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -72,12 +77,34 @@
             start in self._registered for start in self._known_since_by_start
         )
 
-    def check(self, endpoint: catalog.Endpoint) -> None:
-        """Check an endpoint right before a request is sent to it.
+    @contextlib.contextmanager
+    def watch(self, endpoint: catalog.Endpoint) -> Iterator[Callable[[], None]]:
+        """Cancel connecting to an endpoint as soon as it drains.
+
+        Yields a callback that ends the watch, to be called right before the
+        request is sent; it raises `EndpointDrainingError` like the watch.
 
         Raises:
-            EndpointDrainingError: The endpoint drains.
+            EndpointDrainingError: The endpoint drains; nothing was sent.
         """
+        self._check(endpoint)
+        scope = anyio.CancelScope()
+        watch = (_get_start(endpoint), scope)
+
+        def end_watch() -> None:
+            self._watches.discard(watch)
+            self._check(endpoint)
+
+        self._watches.add(watch)
+        try:
+            with scope:
+                yield end_watch
+        finally:
+            self._watches.discard(watch)
+        if scope.cancelled_caught:
+            self._check(endpoint)
+
+    def _check(self, endpoint: catalog.Endpoint) -> None:
         if self.is_draining(endpoint):
             raise EndpointDrainingError(f"endpoint {endpoint.id} is draining")
 
@@ -115,6 +142,9 @@
             address=endpoint.address,
             source=source.value,
         )
+        for watched, scope in self._watches:
+            if watched == start:
+                scope.cancel()
         for listener in self._listeners:
             listener()
 
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -239,12 +239,13 @@
             with (
                 self._loads.track(endpoint.id, kind),
                 self._placement.track_activity(endpoint.id) as record_activity,
+                self._placement.draining.watch(endpoint) as end_watch,
             ):
                 if self._loads.count_in_flight(endpoint.id) > endpoint.slots:
                     self._loads.request_urgent_report()
                 async with self._pool.use(endpoint.address) as connection:
                     connection.on_receive = record_activity
-                    self._placement.draining.check(endpoint)
+                    end_watch()
                     result = await self._exchange(
                         connection,
                         call,
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -22,7 +22,7 @@
 MAX_REFUSAL_S: Final = 0.2
 KINDS: Final = ("/plain/a", "/twice/a", "/stream/a", "/resumable/a", "/once/a")
 LATE_MARK: Final = b"server-leaving: 1\r\n"
-CONNECT_S: Final = 0.2
+CONNECT_S: Final = 1.0
 
 
 def make_endpoint(name: str = "e1", **fields: Any) -> catalog.Endpoint:
@@ -239,9 +239,11 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(send)
                 await delayed.is_connecting.wait()
+                started_at = time.monotonic()
                 site.placement.draining.record_response(
                     catalog.Endpoint("e1", "engine", first.address, "z1", 8)
                 )
+        self.assertLess(time.monotonic() - started_at, CONNECT_S / 2)
         self.assertEqual([one.status for one in responses], [200])
         self.assertEqual((len(first.runs), len(second.runs)), (0, 1))
         self.assertEqual(site.failures.get_failure_rate("e1"), 0.0)
@@ -390,7 +392,7 @@
         return self.now
 
 
-class DrainingEndpointsTest(unittest.TestCase):
+class DrainingEndpointsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.clock = Clock()
         self.draining = draining_lib.create_draining_endpoints(self.clock)
@@ -398,7 +400,7 @@
     def register(self, *endpoints: catalog.Endpoint) -> None:
         self.draining.set_endpoints({one.id: one for one in endpoints})
 
-    def test_entry_and_response_count_alike(self) -> None:
+    async def test_entry_and_response_count_alike(self) -> None:
         for is_entry in (False, True):
             with self.subTest(is_entry=is_entry):
                 self.setUp()
@@ -410,8 +412,11 @@
                 self.register(one)
                 self.assertTrue(self.draining.is_draining(one))
                 self.assertEqual(self.draining.get_age_ms(one), 2_000)
-                with self.assertRaises(draining_lib.EndpointDrainingError):
-                    self.draining.check(one)
+                with (
+                    self.assertRaises(draining_lib.EndpointDrainingError),
+                    self.draining.watch(one) as end_watch,
+                ):
+                    end_watch()
 
     def test_it_is_known_by_id_and_start(self) -> None:
         old = make_endpoint(started=1)
