--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -9,6 +9,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
@@ -33,6 +34,7 @@
             express the item; it is not retried.
         NOT_RUN: The endpoint responded that it did not run the item.
         NOT_SENT: The endpoint was unreachable; nothing was sent.
+        WITHDRAWN: The endpoint began to drain before anything was sent.
         BROKEN: The response was incomplete or invalid; a retry may succeed.
     """
 
@@ -41,6 +43,7 @@
     IMPOSSIBLE = "impossible"
     NOT_RUN = "not_run"
     NOT_SENT = "not_sent"
+    WITHDRAWN = "withdrawn"
     BROKEN = "broken"
 
 
@@ -80,6 +83,7 @@
     progress: Progress,
     record_activity: Callable[[], None],
     endpoint_limits: endpoint_limits_lib.EndpointLimits,
+    draining: draining_lib.DrainingEndpoints,
 ) -> tuple[Outcome, str]:
     """Run an item until it ends or the run fails; updates `progress`.
 
@@ -89,6 +93,14 @@
     Returns:
         The outcome and its reason.
     """
+
+    def check_head(head: upstream.Head) -> bool:
+        info = dialect.read_response_info(head, progress.item.id)
+        if info.is_draining:
+            # Late responses to other requests count as well.
+            draining.record_response(endpoint)
+        return info.is_for_request
+
     sent_at = deadlines.now()
     try:
         call = _build_call(dialect, progress.item, host, deadline)
@@ -96,26 +108,25 @@
             endpoint.id, workspace, deadline, progress.last_event or None
         )
         request = dialect.write_attempt(call, attempt)
-        async with pool.use(endpoint.address) as connection:
-            connection.on_receive = record_activity
-            connection.stall_deadline = deadlines.after(IDLE_TIMEOUT_S)
-            await connection.start(
-                request,
-                lambda head: (
-                    dialect.read_response_info(head, call.id).is_for_request
-                ),
-            )
-            info = dialect.read_response_info(connection.head, call.id)
-            if not info.is_misdirected:
-                endpoint_limits.record_response(
-                    endpoint.id, info.limit_per_s, sent_at
-                )
-            return await _read_response(info, connection, progress)
+        with draining.watch(endpoint) as end_watch:
+            async with pool.use(endpoint.address) as connection:
+                connection.on_receive = record_activity
+                end_watch()
+                connection.stall_deadline = deadlines.after(IDLE_TIMEOUT_S)
+                await connection.start(request, check_head)
+                info = dialect.read_response_info(connection.head, call.id)
+                if not info.is_misdirected:
+                    endpoint_limits.record_response(
+                        endpoint.id, info.limit_per_s, sent_at
+                    )
+                return await _read_response(info, connection, progress)
     except upstream.InvalidRequestError as error:
         return Outcome.IMPOSSIBLE, str(error)
     except upstream.ExchangeError as error:
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
         return outcome, str(error)
+    except draining_lib.EndpointDrainingError as error:
+        return Outcome.WITHDRAWN, str(error)
     except upstream.StalledError:
         return Outcome.BROKEN, "idle timeout"
 
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -90,6 +90,7 @@
         progress,
         lambda: None,
         site_lib.make_endpoint_limits(),
+        site.placement.draining,
     )
     await pool.close()
     return outcome
