Open a connection for each call to an engine

With the product's own interface, an engine that wrote a response twice gave the next call on the connection the copy of the first one's response: a caller got an answer that wasn't its own.

Cause: the HTTP client keeps bytes beyond the end of a response on a pooled connection and takes them for the response to the next call.

Evidence: the test fails without the change (the second call gets the first one's body). Found by a review of the readers of responses.

Change: connections to engines are no longer pooled, as those to plain services never were. Both are on the agent's own instance, where a connection costs little; that was not measured here.

--- a/eelgrassgate/engine/connections.py
+++ b/eelgrassgate/engine/connections.py
@@ -20,7 +20,6 @@
 
 CONNECT_TIMEOUT_S: Final = 2.0
 WRITE_TIMEOUT_S: Final = 10.0
-KEEPALIVE_EXPIRY_S: Final = 2.0
 MAX_CONNECTIONS: Final = 1024
 TCP_KEEPALIVE_IDLE_S: Final = 3
 TCP_KEEPALIVE_INTERVAL_S: Final = 1
@@ -54,20 +53,20 @@
 
 
 def create_client(
-    url: str, *, read_timeout_s: float | None, is_pooled: bool
+    url: str, *, read_timeout_s: float | None
 ) -> httpx.AsyncClient:
-    """Create an HTTP client.
+    """Create an HTTP client that opens a connection for each call.
+
+    A kept connection may hold bytes beyond the end of a response, such as a
+    second copy of it, which would be taken for the response to the next call.
 
     Args:
         url: The endpoint's base URL.
         read_timeout_s: Longest wait for the next bytes; None to wait until the
             deadline.
-        is_pooled: Whether idle connections are reused.
     """
     limits = httpx.Limits(
-        max_connections=MAX_CONNECTIONS,
-        max_keepalive_connections=MAX_CONNECTIONS if is_pooled else 0,
-        keepalive_expiry=KEEPALIVE_EXPIRY_S,
+        max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
     )
     transport = httpx.AsyncHTTPTransport(
         verify=_create_ssl_context(url.startswith("https:")),
@@ -95,7 +94,7 @@
 
 
 class ClientPool:
-    """A pooled client that is replaced after a connection error.
+    """A client that is replaced after a connection error.
 
     Calls in flight finish on the client on which they started.
     """
--- a/eelgrassgate/engine/http.py
+++ b/eelgrassgate/engine/http.py
@@ -100,7 +100,6 @@
         return connections.create_client(
             self._url,
             read_timeout_s=self._stream_idle_timeout_s,
-            is_pooled=True,
         )
 
     async def _request_control(
--- a/eelgrassgate/service/http.py
+++ b/eelgrassgate/service/http.py
@@ -35,9 +35,7 @@
 
     def __init__(self, url: str) -> None:
         """Create the client."""
-        self._client = connections.create_client(
-            url, read_timeout_s=None, is_pooled=False
-        )
+        self._client = connections.create_client(url, read_timeout_s=None)
 
     async def call(self, call: base.Call) -> AsyncIterator[base.Part]:
         """Yield the response; the last part is `End` or `Failed`."""
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -27,6 +27,7 @@
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: "
 STREAM = CHUNKED + b"text/event-stream\r\n\r\n"
 EVENT = b'data: {"choices": []}\n\n'
+COUNTED = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d"
 FIRST = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
 
 
@@ -183,6 +184,32 @@
 
 
 class EndpointsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_second_copy_of_a_response_is_not_given_to_the_next_call(
+        self,
+    ) -> None:
+        numbers = iter(range(9))
+
+        async def handle(stream: abc.SocketStream) -> None:
+            async with stream:
+                while True:
+                    try:
+                        await stream.receive()
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        return
+                    response = COUNTED % next(numbers)
+                    await stream.send(response + response)
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(abc.SocketAttribute.local_port)
+        endpoint = engine_http.create_engine(f"http://127.0.0.1:{port}")
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, handle)
+            for number in range(3):
+                parts = await collect(endpoint, make_call())
+                self.assertIn(base.Data(b"%d" % number), parts)
+            await endpoint.close()
+            tasks.cancel_scope.cancel()
+
     async def test_engine_contract(self) -> None:
         async with serve_app(engine.create_app(OPTIONS)) as url:
             endpoint = engine_http.create_engine(url)
