Offer a job's items only once all of them are read

Cause: `OwnedJob._load` put the items of each value into `waiting` as soon as it had read that value. `Owner._start_items` takes items from there every 0.05 s. When a later read failed, the load was repeated, and put the items that ran meanwhile into `waiting` once more, as it knows committed results only.

Evidence: a read of the last value of items that fails once, with an endpoint that is faster than the reads, is enough: test_items_of_a_job_whose_load_fails_are_listed_once never ended and test_a_failed_load_offers_no_items found two items offered, both before the fix. They pass now.

Why this fix works: a load publishes `committed` and `waiting` together, after its last read, and nothing waits between the two assignments. A load that fails leaves both as they were, so it can be repeated.

--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -164,16 +164,19 @@
         for part in range(len(self._head.ends)):
             value = await self._read(records.get_results_key(self.id, part))
             committed.extend(records.decode_results(value))
-        self.committed = committed
         known = {one.id for one in committed}
-        self.waiting = []
+        waiting: list[items.Progress] = []
         for part in range(self.job.parts):
             value = await self._read(records.get_items_key(self.id, part))
-            self.waiting.extend(
+            waiting.extend(
                 items.Progress(item)
                 for item in records.decode_items(value)
                 if item.id not in known
             )
+        # Items start as soon as they are waiting, and a load that fails is
+        # repeated, so nothing may be visible before everything is read.
+        self.committed = committed
+        self.waiting = waiting
 
     async def _load_head(self) -> None:
         key = f"{records.HEADS}{records.quote(self.id)}"
--- a/eelgrassgate/store/faulty.py
+++ b/eelgrassgate/store/faulty.py
@@ -28,6 +28,7 @@
             replies are lost.
         is_watch_silent: Watches stay open but yield nothing until they time
             out, even if the fault ends before.
+        failing_reads_by_key: Number of further reads of a key that fail.
     """
 
     def __init__(self) -> None:
@@ -36,6 +37,7 @@
         self.delay_s = 0.0
         self.lost_replies = 0
         self.is_watch_silent = False
+        self.failing_reads_by_key: dict[str, int] = {}
 
 
 class Counts:
@@ -84,6 +86,10 @@
     ) -> result.Result[base.Record | None, base.StoreError]:
         """Read one key."""
         self.counts.reads += 1
+        failing = self.faults.failing_reads_by_key
+        if failing.get(key, 0) > 0:
+            failing[key] -= 1
+            return result.Failure(_create_down_error())
         answer = await self._call_inner(lambda: self._inner.read(key))
         record = answer.value_or(None)
         if record:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -117,12 +117,13 @@
 
     async def test_a_large_job_is_stored_in_parts(self) -> None:
         store = make_store()
-        large = tuple(
-            calls.BatchItem(f"i{number}", "/batch/1", {}, b"x" * 300_000)
-            for number in range(7)
-        )
         accepted = await submission.submit(
-            store, make_call(), ROUTE, site_lib.WORKSPACE, large, 1
+            store,
+            make_call(),
+            ROUTE,
+            site_lib.WORKSPACE,
+            make_large_items(7),
+            1,
         )
         self.assertEqual(accepted.outcome, submission.Outcome.DONE)
         record = (await store.read(f"{records.JOBS}{JOB}")).unwrap()
@@ -143,6 +144,14 @@
     )
 
 
+def make_large_items(count: int) -> tuple[calls.BatchItem, ...]:
+    """Return items of which two fill a value of the store."""
+    return tuple(
+        calls.BatchItem(f"i{number}", "/batch/1", {}, b"x" * 300_000)
+        for number in range(count)
+    )
+
+
 async def claim_job(store: base.Store, owner: str = "a") -> ownership.OwnedJob:
     owned = await make_owned(store)
     lease = (await store.grant_lease(60.0)).unwrap().lease
@@ -246,6 +255,21 @@
             await owned.commit()
         self.assertEqual(await read_ids(store, owned.job), [first, second])
 
+    async def test_a_failed_load_offers_no_items(self) -> None:
+        # Items were offered after each value that was read, and again by the
+        # next load.
+        store = make_store()
+        await submit(store, items=make_large_items(3))
+        owned = await make_owned(store)
+        store.faults.failing_reads_by_key = {records.get_items_key(JOB, 1): 1}
+        with self.assertRaises(ownership.StoreFailedError):
+            await owned.load()
+        self.assertEqual(len(owned.waiting), 0)
+        await owned.load()
+        self.assertEqual(
+            [one.item.id for one in owned.waiting], ["i0", "i1", "i2"]
+        )
+
     async def test_an_expired_claim_is_acquired_again(self) -> None:
         store = make_store()
         await submit(store)
@@ -471,6 +495,25 @@
             states = {one.state for one in found.values()}
             self.assertEqual(states, {records.COMPLETED})
 
+    async def test_items_of_a_job_whose_load_fails_are_listed_once(
+        self,
+    ) -> None:
+        # Items that started while a load was under way, which then failed,
+        # were loaded and listed a second time.
+        async with open_harness() as harness:
+            harness.store.faults.delay_s = 0.05
+            harness.store.faults.failing_reads_by_key = {
+                records.get_items_key(JOB, 3): 1
+            }
+            await submit(harness.store, items=make_large_items(7))
+            with anyio.fail_after(TIMEOUT_S):
+                await harness.read_all()
+            record = (
+                await harness.store.read(f"{records.HEADS}{JOB}")
+            ).unwrap()
+            assert record is not None
+            self.assertEqual(records.decode_head(record.value).count(), 7)
+
     async def test_a_preempted_item_resumes(self) -> None:
         async with open_harness(slots=4) as harness:
             for one in harness.endpoints:
