Bound results in bytes, and split a commit that the store rejects

Cause: `OwnedJob._prepare_commit` bounded a group of results by the characters of their texts, against a limit in bytes. Results that piled up during an outage made a value above the store's limit; the store refused it with 413, the transaction stayed pending, and the same one was sent again for ever. Pages of results had the same bound, against a limit of the users' protocol.

Evidence: 12 results of 100,000 characters of three bytes each, before the fix: "the value of eelgrassgate/bulk/results/job-1/0 is too large" until the test's timeout; a page had 2,700,809 bytes, and 5,400,809 for a character that JSON escapes, where 1,000,000 are allowed. The four tests of ResultSizeTest failed before the fix and pass now.

Why this fix works: groups and pages are bounded by the size of the results as JSON, the longest form in which they are stored or sent, by one function. For what is rejected all the same, `StoreError.is_rejected` tells a call that is invalid in itself from one that may be repeated: the pending transaction is dropped and half as many results are tried; a single result that the store rejects becomes a dead letter, so that it doesn't hold up the others. If an earlier try of the dropped transaction was applied, the next one fails at the head's revision, as before.

The stand-ins answer a rejected call as the outside systems do: 413 or 400, and 404 for a lease that doesn't exist.

--- a/eelgrassgate/batches/owner_api.py
+++ b/eelgrassgate/batches/owner_api.py
@@ -4,6 +4,7 @@
 results are current, it returns 404 and the gateway falls back to the store.
 """
 
+import itertools
 import re
 from typing import Final
 import urllib.parse
@@ -28,7 +29,8 @@
 BAD_REQUEST: Final = 400
 NOT_FOUND: Final = 404
 MS_PER_S: Final = 1000.0
-# Bound on the length of the text in one response.
+# Bound on the results in one response; callers take 1 MB with what surrounds
+# them.
 MAX_RESPONSE_BYTES: Final = 900_000
 _COUNT: Final = re.compile(r"[0-9]{1,15}")
 
@@ -61,14 +63,8 @@
     committed: list[records.Result], after: int
 ) -> tuple[records.Result, ...]:
     """Return a page of results; has at least one if there is any."""
-    found: list[records.Result] = []
-    size = 0
-    for one in committed[after:]:
-        size += len(one.text)
-        if found and size > MAX_RESPONSE_BYTES:
-            break
-        found.append(one)
-    return tuple(found)
+    following = itertools.islice(committed, after, None)
+    return tuple(records.take_results(following, MAX_RESPONSE_BYTES))
 
 
 class OwnerApi:
--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -53,6 +53,7 @@
         self._pending: base.Transaction | None = None
         self._pending_head = records.Head()
         self._pending_results: list[records.Result] = []
+        self._max_commit_results: int | None = None
         self._commit_event = anyio.Event()
         self.committed: list[records.Result] = []
         self.job = job
@@ -239,7 +240,10 @@
         assert self._pending is not None
         answer = await self._store.commit(self._pending)
         if isinstance(answer, result.Failure):
-            raise StoreFailedError(answer.failure().message)
+            error = answer.failure()
+            if error.is_rejected:
+                self._reduce_commit(error.message)
+            raise StoreFailedError(error.message)
         commit = answer.unwrap()
         if commit.is_done:
             self._apply_commit(commit.revision)
@@ -251,13 +255,10 @@
 
     def _prepare_commit(self) -> None:
         """Build the transaction that commits the next part of results."""
-        taken: list[records.Result] = []
-        size = 0
-        for one in self.uncommitted:
-            size += len(one.text)
-            if taken and size > records.MAX_PART_BYTES:
-                break
-            taken.append(one)
+        taken = records.take_results(
+            self.uncommitted[: self._max_commit_results],
+            records.MAX_PART_BYTES,
+        )
         left = self.job.total - self._head.count() - len(taken)
         self._pending_results = taken
         self._pending_head = records.Head(
@@ -282,6 +283,27 @@
             ),
         )
 
+    def _reduce_commit(self, reason: str) -> None:
+        """Drop a transaction that the store rejects; the next is smaller.
+
+        A result that is rejected by itself becomes a dead letter, as it would
+        hold up the results after it.
+        """
+        group = self._pending_results
+        self._pending = None
+        self._max_commit_results = max(1, len(group) // 2)
+        logs.log_message(
+            "commit rejected",
+            job=self.id,
+            results=len(group),
+            bytes=sum(map(records.measure_result, group)),
+            reason=reason,
+        )
+        if len(group) == 1:
+            self.uncommitted[0] = records.Result(
+                group[0].id, records.DEAD_LETTER
+            )
+
     def _apply_commit(self, revision: int) -> None:
         self._head = self._pending_head
         self._head_revision = revision
@@ -291,6 +313,7 @@
         previous_event.set()
         self.uncommitted = self.uncommitted[len(done) :]
         self._pending = None
+        self._max_commit_results = None
         logs.log_message(
             "results committed",
             job=self.id,
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -5,6 +5,7 @@
 processes.
 """
 
+from collections.abc import Iterable
 from typing import Annotated
 from typing import Final
 import urllib.parse
@@ -106,6 +107,27 @@
 _JOB_DECODER: Final = msgspec.json.Decoder(Job)
 
 
+def measure_result(one: Result) -> int:
+    """Return the size of a result in bytes, as JSON.
+
+    No encoding of it in a stored value or in a response is longer, but for a
+    few bytes.
+    """
+    return len(msgspec.json.encode(one))
+
+
+def take_results(found: Iterable[Result], max_bytes: int) -> list[Result]:
+    """Return the first results, up to a size; at least one if there is any."""
+    taken: list[Result] = []
+    size = 0
+    for one in found:
+        size += measure_result(one)
+        if taken and size > max_bytes:
+            break
+        taken.append(one)
+    return taken
+
+
 def quote(job: str) -> str:
     """Return a job id percent-encoded as one segment of a key."""
     return urllib.parse.quote(job, safe="")
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -46,6 +46,8 @@
 MIN_SERVER_ERROR_STATUS: Final = 500
 # Statuses of calls that had no effect.
 NO_EFFECT_STATUSES: Final = frozenset({400, 403, 404, 413, 429, 503})
+# Statuses of invalid calls, which get them whenever they are repeated.
+REJECTED_STATUSES: Final = frozenset({400, 403, 413})
 
 # Statuses by which the service rejects this instance; the service may still
 # accept calls from other instances.
@@ -588,9 +590,11 @@
     return True
 
 
-def _create_error(is_unknown: bool, message: str) -> _CallError:
+def _create_error(
+    is_unknown: bool, message: str, *, is_rejected: bool = False
+) -> _CallError:
     fault = base.Fault.UNKNOWN if is_unknown else base.Fault.NOT_DONE
-    return _CallError(base.StoreError(fault, message))
+    return _CallError(base.StoreError(fault, message, is_rejected))
 
 
 def _choose_failure(failures: list[_CallError]) -> _CallError:
@@ -609,7 +613,9 @@
         return
     text = body[:100].decode("utf-8", "replace")
     raise _create_error(
-        status not in NO_EFFECT_STATUSES, f"status {status}: {text}"
+        status not in NO_EFFECT_STATUSES,
+        f"status {status}: {text}",
+        is_rejected=status in REJECTED_STATUSES,
     )
 
 
--- a/eelgrassgate/standins/kv.py
+++ b/eelgrassgate/standins/kv.py
@@ -21,6 +21,7 @@
 
 DEFAULT_PORT: Final = 8408
 MS_PER_S: Final = 1000.0
+TOO_LARGE_STATUS: Final = 413
 UNAVAILABLE_STATUS: Final = 503
 INTERNAL_SERVER_ERROR_STATUS: Final = 500
 NOT_FOUND_STATUS: Final = 404
@@ -169,7 +170,7 @@
     """Return the error response; 503 means that nothing was changed."""
     if error.fault is base.Fault.UNKNOWN:
         return responses.Response(error.message, INTERNAL_SERVER_ERROR_STATUS)
-    status = UNAVAILABLE_STATUS
+    status = TOO_LARGE_STATUS if error.is_rejected else UNAVAILABLE_STATUS
     return responses.Response(error.message, status)
 
 
--- a/eelgrassgate/standins/store.py
+++ b/eelgrassgate/standins/store.py
@@ -22,6 +22,8 @@
 
 UNAVAILABLE_STATUS: Final = 503
 UNAVAILABLE_CODE: Final = 14
+NOT_FOUND_STATUS: Final = 404
+NOT_FOUND_CODE: Final = 5
 INVALID_STATUS: Final = 400
 INVALID_CODE: Final = 3
 MAX_BODY_BYTES: Final = 2_097_152
@@ -71,6 +73,11 @@
         committed = response.value_or(None)
         if committed is None:
             error = response.failure()
+            if error.fault is base.Fault.NOT_DONE and not error.is_rejected:
+                # Of what a transaction needs, only a lease can be missing.
+                return _respond_with_error(
+                    NOT_FOUND_STATUS, NOT_FOUND_CODE, error.message
+                )
             if error.fault is base.Fault.NOT_DONE:
                 return _respond_with_error(
                     INVALID_STATUS, INVALID_CODE, error.message
--- a/eelgrassgate/store/base.py
+++ b/eelgrassgate/store/base.py
@@ -28,10 +28,18 @@
 
 
 class StoreError(msgspec.Struct, frozen=True):
-    """The failure of a store call."""
+    """The failure of a store call.
+
+    Attributes:
+        fault: Whether the call may have taken effect.
+        message: Why it failed.
+        is_rejected: Whether the store found the call itself invalid, for
+            example a value too large, so that it fails whenever it is repeated.
+    """
 
     fault: Fault
     message: str
+    is_rejected: bool = False
 
 
 class Record(msgspec.Struct, frozen=True):
--- a/eelgrassgate/store/etcd.py
+++ b/eelgrassgate/store/etcd.py
@@ -32,6 +32,7 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 WATCH_TIMEOUT_S: Final = 6.0
 MAX_CONNECTIONS: Final = 32
+BAD_REQUEST_STATUS: Final = 400
 MIN_ERROR_STATUS: Final = 400
 MIN_SERVER_ERROR_STATUS: Final = 500
 
@@ -104,6 +105,7 @@
                 return _fail(
                     base.Fault.NOT_DONE,
                     f"the value of {change.key} exceeds the size limit",
+                    is_rejected=True,
                 )
         answer = await self._call(
             etcd_messages.TXN_PATH,
@@ -388,13 +390,14 @@
         message = error.message or message
     if response.status_code >= MIN_SERVER_ERROR_STATUS:
         return _fail(base.Fault.UNKNOWN, message)
-    return _fail(base.Fault.NOT_DONE, message)
+    is_rejected = response.status_code == BAD_REQUEST_STATUS
+    return _fail(base.Fault.NOT_DONE, message, is_rejected=is_rejected)
 
 
 def _fail(
-    fault: base.Fault, message: str
+    fault: base.Fault, message: str, *, is_rejected: bool = False
 ) -> result.Result[_T, base.StoreError]:
-    return result.Failure(base.StoreError(fault, message))
+    return result.Failure(base.StoreError(fault, message, is_rejected))
 
 
 def _describe(error: Exception) -> str:
--- a/eelgrassgate/store/memory.py
+++ b/eelgrassgate/store/memory.py
@@ -104,9 +104,9 @@
     ) -> result.Result[base.Commit, base.StoreError]:
         """Apply changes if all preconditions hold."""
         self.expire_leases()
-        message = self._validate(transaction)
-        if message:
-            return result.Failure(base.StoreError(base.Fault.NOT_DONE, message))
+        error = self._validate(transaction)
+        if error is not None:
+            return result.Failure(error)
         if not all(map(self._is_met, transaction.preconditions)):
             return result.Success(
                 base.Commit(
@@ -193,19 +193,23 @@
                 return
             yield key
 
-    def _validate(self, transaction: base.Transaction) -> str:
-        """Return why a transaction is invalid, or an empty string."""
+    def _validate(
+        self, transaction: base.Transaction
+    ) -> base.StoreError | None:
+        """Return why a transaction is invalid, else None."""
         keys = {change.key for change in transaction.changes}
         if len(keys) < len(transaction.changes):
-            return "duplicate key in the changes of a transaction"
+            return _reject("duplicate key in the changes of a transaction")
         for change in transaction.changes:
             if not isinstance(change, base.Write):
                 continue
             if len(change.value) > base.MAX_VALUE_BYTES:
-                return f"the value of {change.key} exceeds the size limit"
+                return _reject(f"the value of {change.key} is too large")
             if change.lease and change.lease not in self._leases_by_id:
-                return f"lease {change.lease} does not exist"
-        return ""
+                return base.StoreError(
+                    base.Fault.NOT_DONE, f"lease {change.lease} does not exist"
+                )
+        return None
 
     def _is_met(self, precondition: base.Precondition) -> bool:
         record = self._records_by_key.get(precondition.key)
@@ -295,6 +299,10 @@
         changed.set()
 
 
+def _reject(message: str) -> base.StoreError:
+    return base.StoreError(base.Fault.NOT_DONE, message, is_rejected=True)
+
+
 def create_memory_store(
     clock: Callable[[], float] = time.monotonic,
     progress_interval_s: float = PROGRESS_INTERVAL_S,
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -6,11 +6,13 @@
 from typing import Any
 from typing import Final
 import unittest
+from unittest import mock
 
 import anyio
 
 from eelgrassgate import deadlines
 from eelgrassgate.batches import owner as owner_lib
+from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import ownership
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
@@ -25,6 +27,7 @@
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
+from eelgrassgate.platform import batch_calls
 from eelgrassgate.platform import dialect
 from eelgrassgate.quarantine import quarantine
 from eelgrassgate.standins import endpoint
@@ -36,6 +39,8 @@
 
 TIMEOUT_S: Final = 15.0
 JOB: Final = "job-1"
+# Limit of the users' protocol for a page of results.
+MAX_PAGE_BYTES: Final = 1_000_000
 ROUTE: Final = next(
     one for one in site_lib.ROUTES if one.kind is catalog.Kind.BATCH
 )
@@ -306,6 +311,91 @@
         self.assertEqual(await read_ids(store, owned.job), ["i0"])
 
 
+def complete_all(owned: ownership.OwnedJob, text: str) -> None:
+    """Complete all items with the same output."""
+    while owned.waiting:
+        progress = owned.waiting.pop(0)
+        progress.event_data.append(text)
+        owned.record_result(progress, records.COMPLETED, "")
+
+
+async def commit_all(owned: ownership.OwnedJob) -> int:
+    """Commit until all results are committed; return the rejected commits."""
+    rejections = 0
+    with anyio.fail_after(TIMEOUT_S):
+        while owned.has_uncommitted():
+            try:
+                await owned.commit()
+            except ownership.StoreFailedError:
+                rejections += 1
+                await anyio.sleep(0.01)
+    return rejections
+
+
+class ResultSizeTest(unittest.IsolatedAsyncioTestCase):
+    # By name: a character whose encodings are longer than one byte.
+    CHARACTERS: Final = {"three bytes": "\u6280", "escaped in JSON": "\x01"}
+
+    async def test_results_that_pile_up_fit_into_values_in_bytes(self) -> None:
+        # Groups of results were bounded in characters. Their value exceeded
+        # the store's limit, and the same commit was sent for ever.
+        for name, character in self.CHARACTERS.items():
+            with self.subTest(name):
+                store = make_store()
+                await submit(store, 12)
+                owned = await claim_job(store)
+                complete_all(owned, character * 100_000)
+                self.assertEqual(await commit_all(owned), 0)
+                self.assertFalse(owned.is_open())
+                self.assertEqual(len(owned.committed), 12)
+
+    async def test_a_rejected_commit_is_split(self) -> None:
+        # A commit that the store rejects for its size was sent for ever.
+        store = make_store()
+        await submit(store, 6)
+        owned = await claim_job(store)
+        complete_all(owned, "x" * 1_000)
+        with mock.patch.object(base, "MAX_VALUE_BYTES", 2_500):
+            self.assertGreater(await commit_all(owned), 0)
+        self.assertFalse(owned.is_open())
+        states = [one.state for one in owned.committed]
+        self.assertEqual(states, [records.COMPLETED] * 6)
+
+    async def test_a_result_that_is_rejected_alone_becomes_a_dead_letter(
+        self,
+    ) -> None:
+        # It held up the results after it for ever.
+        store = make_store()
+        await submit(store, 2)
+        owned = await claim_job(store)
+        for text in ("x" * 3_000, "y"):
+            progress = owned.waiting.pop(0)
+            progress.event_data.append(text)
+            owned.record_result(progress, records.COMPLETED, "")
+        with mock.patch.object(base, "MAX_VALUE_BYTES", 2_500):
+            await commit_all(owned)
+        self.assertEqual(
+            [(one.state, one.text) for one in owned.committed],
+            [(records.DEAD_LETTER, ""), (records.COMPLETED, "y")],
+        )
+
+    def test_a_page_is_bounded_as_it_is_sent(self) -> None:
+        # Pages were bounded in characters, and longer than callers take.
+        for name, character in self.CHARACTERS.items():
+            with self.subTest(name):
+                found = [
+                    records.Result(
+                        f"i{number}", records.COMPLETED, character * 50_000
+                    )
+                    for number in range(30)
+                ]
+                page = owner_api.select_page(found, 0)
+                listing = owner_api.Listing(30, len(page), page)
+                body = batch_calls.PlatformBatchDialect().write_listing(listing)
+                self.assertGreater(len(page), 1)
+                self.assertLessEqual(len(body), MAX_PAGE_BYTES)
+
+
 def make_reader(store: base.Store) -> results.Reader:
     """Return a reader that reads only from the store."""
     directory = registry.create_directory(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -178,15 +178,20 @@
 
 
 async def check_refused(fixture: Fixture) -> None:
-    """Invalid transactions fail with `NOT_DONE` and have no effect."""
+    """Invalid transactions fail with `NOT_DONE` and have no effect.
+
+    Those that fail whenever they are repeated are rejected.
+    """
     large = b"x" * (base.MAX_VALUE_BYTES + 1)
-    for changes in (
-        (base.Write("a", b"1"), base.Write("a", b"2")),
-        (base.Write("a", b"1", 77),),
-        (base.Write("a", large),),
+    for changes, is_rejected in (
+        ((base.Write("a", b"1"), base.Write("a", b"2")), True),
+        ((base.Write("a", b"1", 77),), False),
+        ((base.Write("a", large),), True),
     ):
         answer = await fixture.store.commit(base.Transaction((), changes))
-        assert answer.failure().fault is base.Fault.NOT_DONE, changes
+        error = answer.failure()
+        assert error.fault is base.Fault.NOT_DONE, error
+        assert error.is_rejected is is_rejected, error
     assert (await fixture.store.read("a")).unwrap() is None
 
 
