Keep attempts of a request apart where their responses look alike

Cause: a response is told from others by the id of its request, which all attempts of that request share. If all endpoints had refused a request, the gateway returned to one of them; a faulty endpoint sent its first refusal a second time there, and ran the request. The gateway took the copy for the response. On a kept connection no bytes tell the two apart.

Evidence: a stand-in that sends its refusal once more before its next response: test_a_copied_refusal_hides_no_run got (503, 1 run) before the fix and gets (503, no run) now. The same with pooled connections: three runs of an item at one endpoint used one connection, so that a late copy of a 500 could count as a further failure; test_runs_of_an_item_share_no_connection and four cases of test_attempts_of_a_request_share_no_connection failed before.

Why this fix works: a request that must not run twice does not return to an endpoint that has refused it. It is refused truthfully instead, and its caller comes back with another id. For all other requests and for items, a connection remembers the ids that it has carried and is not used for one of them again; a request without an id leaves its connection unused. The parameter `needs_new` of `Pool.use`, which no caller set, is gone.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -109,7 +109,7 @@
         )
         request = dialect.write_attempt(call, attempt)
         with draining.watch(endpoint) as end_watch:
-            async with pool.use(endpoint.address) as connection:
+            async with pool.use(endpoint.address, call.id) as connection:
                 connection.on_receive = record_activity
                 end_watch()
                 connection.stall_deadline = deadlines.after(IDLE_TIMEOUT_S)
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -172,6 +172,7 @@
         service = _choose_service(route)
         excluded: set[str] = set()
         begun_at: set[str] = set()
+        refused_by: set[str] = set()
         while True:
             suspect = self._quarantine.find_quarantined(call.list_suspects())
             if suspect is not None:
@@ -184,7 +185,9 @@
             )
             if choice is None and excluded and progress.attempts:
                 # Retry at the same endpoint if there is no other.
-                choice = self._placement.choose_endpoint(service)
+                choice = self._placement.choose_endpoint(
+                    service, frozenset(refused_by)
+                )
             if choice is None:
                 return_after_s = RETRY_AFTER_S
                 if not self._placement.get_endpoints(service):
@@ -217,6 +220,10 @@
             if outcome is Result.DONE:
                 return
             excluded.add(choice.endpoint.id)
+            if outcome is Result.NOT_RUN and not route.is_idempotent():
+                # A faulty endpoint may send a refusal twice, and a copy of it
+                # looks like the response to a second attempt there.
+                refused_by.add(choice.endpoint.id)
             if outcome is Result.LOST and not progress.has_endpoint_ended:
                 begun_at.add(choice.endpoint.id)
             can_retry = _can_retry(route, outcome, progress, call.deadline)
@@ -268,7 +275,9 @@
             ):
                 if self._loads.count_in_flight(endpoint.id) > endpoint.slots:
                     self._loads.request_urgent_report()
-                async with self._pool.use(endpoint.address) as connection:
+                async with self._pool.use(
+                    endpoint.address, call.id
+                ) as connection:
                     connection.on_receive = record_activity
                     end_watch()
                     result = await self._exchange(
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -31,6 +31,8 @@
 # connection.
 MAX_DISCARDED_BYTES: Final = 65_536
 DISCARD_TIMEOUT_S: Final = 0.2
+# Bounds the memory of `Connection.request_ids`.
+MAX_REQUESTS: Final = 1_000
 # Bound on a response that is read as a whole; several of the largest values of
 # the key-value service.
 MAX_RESPONSE_BYTES: Final = 8_388_608
@@ -108,6 +110,9 @@
             waiting for data ends then, so the user of the connection moves it
             whenever the exchange has made progress.
         head: Head of the current response.
+        request_ids: Ids of the requests that were sent on it. A late copy of
+            a response to an earlier request can only be told from the response
+            to the current one if their ids differ.
     """
 
     def __init__(self, stream: abc.SocketStream, address: str) -> None:
@@ -121,6 +126,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._received_bytes = 0
         self.head = Head(0, ())
+        self.request_ids: set[str] = set()
 
     async def start(
         self, request: Request, is_expected: ResponseFilter
@@ -358,28 +364,44 @@
 
     @contextlib.asynccontextmanager
     async def use(
-        self, address: str, *, needs_new: bool = False
+        self, address: str, request_id: str | None = None
     ) -> AsyncIterator[Connection]:
         """Acquire a connection for one exchange and release it afterwards.
 
+        Args:
+            address: `host:port` of the peer.
+            request_id: The id by which the peer's responses are told apart.
+                The connection has not carried a request with this id before.
+                None if the peer's responses have no ids.
+
         Raises:
             ExchangeError: Connecting failed; nothing was sent.
         """
-        connection = await self._acquire(address, needs_new)
+        connection = await self._acquire(address, request_id)
+        if request_id is not None:
+            connection.request_ids.add(request_id)
         try:
             yield connection
         finally:
             connection.on_receive = _do_nothing
             connection.stall_deadline = deadlines.NEVER
-            if connection.is_reusable and connection.idle_until:
+            is_worn_out = len(connection.request_ids) >= MAX_REQUESTS
+            can_reuse = connection.is_reusable and not is_worn_out
+            if can_reuse and connection.idle_until and request_id != "":
                 self._release(connection)
             else:
                 await connection.close()
 
-    async def _acquire(self, address: str, needs_new: bool) -> Connection:
+    async def _acquire(
+        self, address: str, request_id: str | None
+    ) -> Connection:
         idle = self._idle_by_address.get(address, [])
-        while idle and not needs_new:
-            connection = idle.pop()
+        candidates = [one for one in idle if request_id not in one.request_ids]
+        for connection in reversed(candidates):
+            if connection not in idle:
+                # Taken or closed while another one was being closed.
+                continue
+            idle.remove(connection)
             if connection.is_usable():
                 connection.idle_until = 0.0
                 return connection
--- a/eelgrassgate/standins/endpoint.py
+++ b/eelgrassgate/standins/endpoint.py
@@ -50,6 +50,8 @@
         has_late_response: Whether a late response to another request
             precedes the next response.
         late_headers: Header lines of that late response.
+        copied_refusals: Number of requests that are rejected as not executed;
+            a copy of the last refusal precedes the next response.
         endless: Bytes to send first, and bytes to send then again and again
             until the caller closes; None for complete responses.
         endless_delay_s: Delay before each of the repeated bytes.
@@ -75,6 +77,7 @@
     is_unsigned: bool = False
     has_late_response: bool = False
     late_headers: bytes = b""
+    copied_refusals: int = 0
     endless: tuple[bytes, bytes] | None = None
     endless_delay_s: float = 0.0
     limit_per_s: float | None = None
@@ -134,6 +137,7 @@
         self.endless_bytes = 0
         self.has_crashed = False
         self._crash = anyio.Event()
+        self._refusal_copy = b""
 
     async def serve(
         self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -163,6 +167,16 @@
         if expected is not None and expected.decode() != self.name:
             await responder.reply(MISDIRECTED_STATUS, common)
             return
+        if behavior.copied_refusals:
+            behavior.copied_refusals -= 1
+            refusal = [*common, (b"request-id", call), (b"not-executed", b"1")]
+            self._refusal_copy = (
+                b"HTTP/1.1 503 Unavailable\r\n"
+                + _write_headers(refusal)
+                + b"content-length: 0\r\n\r\n"
+            )
+            await responder.reply(UNAVAILABLE_STATUS, refusal)
+            return
         if behavior.is_overloaded:
             await responder.reply(
                 UNAVAILABLE_STATUS, [*common, (b"not-executed", b"1")]
@@ -171,6 +185,8 @@
         if behavior.endless is not None:
             await self._send_endless(*behavior.endless, responder)
             return
+        copy, self._refusal_copy = self._refusal_copy, b""
+        await responder.send_raw(copy)
         first = int(incoming.get(b"last-event-id") or b"0") + 1
         run = Run(incoming, first, behavior.status)
         self.runs.append(run)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -577,6 +577,15 @@
             runs = sum(len(one.runs) for one in harness.endpoints)
             self.assertEqual(runs, ROUTE.max_attempts)
 
+    async def test_runs_of_an_item_share_no_connection(self) -> None:
+        # A late copy of a failure on a connection that the item used again
+        # counted as a further failure.
+        async with open_harness(names="e") as harness:
+            harness.endpoints[0].behavior = endpoint.Behavior(status=500)
+            await submit(harness.store, 1)
+            await harness.read_all()
+            self.assertEqual(harness.pool.opened, ROUTE.max_attempts)
+
     async def test_one_failing_endpoint_causes_no_dead_letter(self) -> None:
         async with open_harness() as harness:
             harness.endpoints[0].behavior = endpoint.Behavior(status=500)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -144,6 +144,28 @@
             elif case.status in {502, 503, 504}:
                 self.assertNotIn(b"response-signature", response.headers)
 
+    async def test_a_copied_refusal_hides_no_run(self) -> None:
+        # A second attempt at an endpoint that had refused the request took a
+        # copy of that refusal for its response; the caller was told that the
+        # request had not run, and it ran.
+        async with site_lib.open_site() as site:
+            site.catalog = site_lib.make_catalog(
+                [
+                    site_lib.make_route(
+                        "/twice/", catalog.Kind.NON_IDEMPOTENT, max_attempts=3
+                    )
+                ]
+            )
+            for one in site.endpoints:
+                one.behavior = endpoint.Behavior(copied_refusals=1)
+            response = await site_lib.call(site.address, "/twice/a")
+            self.assertEqual((response.status, site.count_runs()), (503, 0))
+            self.assertIn(b"retry-after", response.headers)
+            response = await site_lib.call(
+                site.address, "/twice/a", request_id="r2"
+            )
+            self.assertEqual((response.status, site.count_runs()), (200, 1))
+
     async def test_timeout_is_reported_promptly(self) -> None:
         async with site_lib.open_site() as site:
             for one in site.endpoints:
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,63 @@
+"""Which connections of a pool are used again."""
+
+from typing import Final
+import unittest
+
+import anyio
+
+from eelgrassgate.http1 import upstream
+from eelgrassgate.standins import endpoint
+
+TIMEOUT_S: Final = 5.0
+# By name: ids of requests that follow one another, and the number of
+# connections that they need.
+CASES: Final = {
+    "different requests": (("a", "b", "c"), 1),
+    "the same request": (("a", "a", "a"), 3),
+    "the same request, then another": (("a", "a", "b"), 2),
+    "the same request, with another between": (("a", "b", "a"), 2),
+    "requests without an id": (("", "a", "", "b"), 3),
+    "responses without ids": ((None, None, None), 1),
+}
+
+
+async def send(pool: upstream.Pool, address: str, name: str | None) -> None:
+    request = upstream.Request(
+        b"POST",
+        b"/",
+        ((b"host", b"h"), (b"request-id", (name or "").encode())),
+        b"",
+    )
+    async with pool.use(address, name) as connection:
+        await connection.start(request, lambda head: True)
+        await connection.read_body()
+
+
+class PoolTest(unittest.IsolatedAsyncioTestCase):
+    async def test_attempts_of_a_request_share_no_connection(self) -> None:
+        # A late copy of the response to the first attempt was taken for the
+        # response to the second.
+        one = endpoint.create_endpoint("e1")
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(one.serve)
+            for name, (request_ids, opened) in CASES.items():
+                with self.subTest(name), anyio.fail_after(TIMEOUT_S):
+                    pool = upstream.create_pool(1.0)
+                    for request_id in request_ids:
+                        await send(pool, one.address, request_id)
+                    self.assertEqual(pool.opened, opened)
+                    await pool.close()
+            tasks.cancel_scope.cancel()
+
+    async def test_a_connection_remembers_a_bounded_number_of_requests(
+        self,
+    ) -> None:
+        one = endpoint.create_endpoint("e1")
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(one.serve)
+            pool = upstream.create_pool(1.0)
+            for number in range(upstream.MAX_REQUESTS + 1):
+                await send(pool, one.address, str(number))
+            self.assertEqual(pool.opened, 2)
+            await pool.close()
+            tasks.cancel_scope.cancel()
