Answer reads of a job from its owner only once the job is loaded

Seen by callers: after a batch process had been lost for good, positions that had been read were answered with 200 and no result, until the process that took the job over had read all results: 2 s and more.

Cause: `Owner.find_job` returned a job that was claimed and had no commit pending, while `OwnedJob.load` had not read its results yet.

Evidence: with three failing reads of the items, test_a_job_that_is_not_loaded_is_not_read_from_its_owner was given a job with no items, before the fix. It passes now.

Why this fix works: `is_synced`, which decides whether the owner may answer, is true only after a load. Until then the owner answers 404, and the gateway reads the store. `_run_job` uses the same state instead of one of its own.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -295,15 +295,13 @@
 
     async def _run_job(self, name: str, owned: ownership.OwnedJob) -> None:
         """Claim a job and commit its results until it is closed or lost."""
-        is_loaded = False
         try:
             while owned.is_open() and not owned.is_stopped:
                 try:
                     if not owned.is_claimed():
                         await self._claim(owned)
-                    if not is_loaded:
+                    if not owned.is_loaded():
                         await owned.load()
-                        is_loaded = True
                         logs.log_message(
                             "job claimed",
                             job=name,
--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -50,6 +50,7 @@
         self._stale_claim_revision = 0
         self._head = records.Head()
         self._head_revision = 0
+        self._is_loaded = False
         self._pending: base.Transaction | None = None
         self._pending_head = records.Head()
         self._pending_results: list[records.Result] = []
@@ -76,13 +77,17 @@
         """Return whether this process holds the claim, as far as it knows."""
         return bool(self._claim_revision)
 
+    def is_loaded(self) -> bool:
+        """Return whether the results and items have been read."""
+        return self._is_loaded
+
     def is_synced(self) -> bool:
         """Return whether `committed` matches the store.
 
         A commit that is still pending may have been applied without its reply
         having arrived.
         """
-        return self._pending is None
+        return self._is_loaded and self._pending is None
 
     async def wait_committed(self) -> None:
         """Wait until more results are committed."""
@@ -178,6 +183,7 @@
         # repeated, so nothing may be visible before everything is read.
         self.committed = committed
         self.waiting = waiting
+        self._is_loaded = True
 
     async def _load_head(self) -> None:
         key = f"{records.HEADS}{records.quote(self.id)}"
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -417,6 +417,9 @@
     def __init__(self) -> None:
         self.lease = 0
 
+    def is_valid(self) -> bool:
+        return bool(self.lease)
+
 
 class Harness:
     """An owner with stand-in endpoints and a store in memory."""
@@ -613,6 +616,24 @@
             assert record is not None
             self.assertEqual(records.decode_head(record.value).count(), 7)
 
+    async def test_a_job_that_is_not_loaded_is_not_read_from_its_owner(
+        self,
+    ) -> None:
+        # A process that had taken a job over answered reads of positions that
+        # had been read before as empty, until it had read the results.
+        async with open_harness() as harness:
+            for one in harness.endpoints:
+                one.behavior = endpoint.Behavior(event_delay_s=0.5)
+            harness.store.faults.failing_reads_by_key = {
+                records.get_items_key(JOB, 0): 3
+            }
+            await submit(harness.store)
+            await harness.wait(lambda: bool(harness.owner.find_job(JOB)))
+            found = harness.owner.find_job(JOB)
+            assert found is not None
+            # Only a job that is not loaded has no item that is left to run.
+            self.assertFalse(found.is_finished())
+
     async def test_a_preempted_item_resumes(self) -> None:
         async with open_harness(slots=4) as harness:
             for one in harness.endpoints:
