Don't acquire a claim again after another process has committed results

What callers could see: a process whose claim expired while it was cut off, and that acquired it again after another process had owned the job and released it, answered reads from its own older list of results, until its next commit failed.

Evidence: test_a_claim_is_not_acquired_again_after_results_of_another got the claim before the fix.

Why this fix works: the claim of a loaded job requires that the head of the results is still at the revision that was loaded. With a commit pending it does not, as that commit may have been applied; the commit itself finds out.

--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -109,8 +109,9 @@
         """Claim the job under a lease.
 
         Returns:
-            False if another process holds the claim, or if the job was closed
-            or cancelled.
+            False if another process holds the claim or has committed results
+            since this one loaded the job, or if the job was closed or
+            cancelled.
 
         Raises:
             StoreFailedError: The store call failed.
@@ -119,13 +120,18 @@
         key = f"{records.CLAIMS}{records.quote(self.id)}"
         value = f"{owner} {incarnation}".encode()
         replaced, self._stale_claim_revision = self._stale_claim_revision, 0
+        preconditions = [
+            base.Precondition(key, replaced),
+            base.Precondition(open_key, self._open_revision),
+        ]
+        if self.is_synced():
+            head_key = f"{records.HEADS}{records.quote(self.id)}"
+            preconditions.append(
+                base.Precondition(head_key, self._head_revision)
+            )
         answer = await self._store.commit(
             base.Transaction(
-                (
-                    base.Precondition(key, replaced),
-                    base.Precondition(open_key, self._open_revision),
-                ),
-                (base.Write(key, value, lease),),
+                tuple(preconditions), (base.Write(key, value, lease),)
             )
         )
         if isinstance(answer, result.Failure):
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -275,6 +275,24 @@
             [one.item.id for one in owned.waiting], ["i0", "i1", "i2"]
         )
 
+    async def test_a_claim_is_not_acquired_again_after_results_of_another(
+        self,
+    ) -> None:
+        # A process that had missed the work of another went on with its own
+        # older list of results.
+        store = make_store()
+        await submit(store)
+        owned = await claim_job(store)
+        claim = base.Transaction((), (base.Delete(f"{records.CLAIMS}{JOB}"),))
+        await store.commit(claim)
+        successor = await claim_job(store, "b")
+        complete_next(successor)
+        await successor.commit()
+        await store.commit(claim)
+        owned.mark_claim_expired()
+        lease = (await store.grant_lease(60.0)).unwrap().lease
+        self.assertFalse(await owned.claim("a", 1, lease))
+
     async def test_an_expired_claim_is_acquired_again(self) -> None:
         store = make_store()
         await submit(store)
