Store items that are larger than a value, and refuse for good what can't be

What callers would see: a job with an item of over 786,432 bytes was answered 503 at each try, although requests may have 4,194,304 bytes. The store rejected the item's value, which was a value of its own, and the rejection counted like an outage.

Evidence: test_an_item_larger_than_a_value_is_stored got NOT_DONE before the fix, and test_jobs_that_can_not_be_stored_are_refused_for_good a 503. Both pass now.

Why this fix works: the body of such an item fills values of its own, after a value with the rest of the item; `stored_items` has the format, and one reader of it for the owner and for requests for bodies. A write that the store rejects all the same ends in 413, which callers do not retry. Jobs with smaller items are stored as before, so processes of both versions read them.

--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -13,6 +13,7 @@
 from eelgrassgate import logs
 from eelgrassgate.batches import items
 from eelgrassgate.batches import records
+from eelgrassgate.batches import stored_items
 from eelgrassgate.store import base
 
 _CLAIM: Final = re.compile(r"(.+) ([0-9]{1,20})")
@@ -177,14 +178,11 @@
             value = await self._read(records.get_results_key(self.id, part))
             committed.extend(records.decode_results(value))
         known = {one.id for one in committed}
-        waiting: list[items.Progress] = []
-        for part in range(self.job.parts):
-            value = await self._read(records.get_items_key(self.id, part))
-            waiting.extend(
-                items.Progress(item)
-                for item in records.decode_items(value)
-                if item.id not in known
-            )
+        waiting = [
+            items.Progress(item)
+            async for item in stored_items.iterate_items(self.job, self._read)
+            if item.id not in known
+        ]
         # Items start as soon as they are waiting, and a load that fails is
         # repeated, so nothing may be visible before everything is read.
         self.committed = committed
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -13,7 +13,6 @@
 import msgspec
 
 from eelgrassgate import decoding
-from eelgrassgate.gateway import calls
 
 OPEN: Final = "eelgrassgate/open/"
 OPEN_JOBS: Final = f"{OPEN}jobs/"
@@ -101,7 +100,6 @@
     text: str = ""
 
 
-_ITEMS_DECODER: Final = msgspec.msgpack.Decoder(list[calls.BatchItem])
 _RESULTS_DECODER: Final = msgspec.msgpack.Decoder(list[Result])
 _HEAD_DECODER: Final = msgspec.json.Decoder(Head)
 _JOB_DECODER: Final = msgspec.json.Decoder(Job)
@@ -143,34 +141,6 @@
     return f"{RESULTS}{quote(job)}/{part}"
 
 
-def split_items(items: tuple[calls.BatchItem, ...]) -> list[bytes]:
-    """Encode items, in order, into values of at most `MAX_PART_BYTES`.
-
-    An item larger than that gets a value of its own.
-    """
-    parts: list[bytes] = []
-    group: list[calls.BatchItem] = []
-    size = 0
-    for item in items:
-        item_size = len(msgspec.msgpack.encode(item))
-        if group and size + item_size > MAX_PART_BYTES:
-            parts.append(msgspec.msgpack.encode(group))
-            group, size = [], 0
-        group.append(item)
-        size += item_size
-    parts.append(msgspec.msgpack.encode(group))
-    return parts
-
-
-def decode_items(value: bytes) -> list[calls.BatchItem]:
-    """Decode one part of a job's items.
-
-    Raises:
-        msgspec.MsgspecError: The value is malformed.
-    """
-    return decoding.decode(_ITEMS_DECODER, value)
-
-
 def decode_results(value: bytes) -> list[Result]:
     """Decode one part of a job's results.
 
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -15,6 +15,7 @@
 from eelgrassgate import logs
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
+from eelgrassgate.batches import stored_items
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import rendezvous
@@ -281,13 +282,15 @@
         """Return the body of a job's item; None if there is no such item.
 
         Raises:
-            UnavailableError: A store call failed or a value is missing.
+            UnavailableError: A store call failed, or a value is missing or
+                invalid.
         """
-        for part in range(job.parts):
-            value = await self._read_value(records.get_items_key(job.id, part))
-            for one in _decode(records.decode_items, value):
+        try:
+            async for one in stored_items.iterate_items(job, self._read_value):
                 if one.id == item:
                     return one.body
+        except msgspec.MsgspecError as error:
+            raise UnavailableError(f"invalid value: {error}") from error
         return None
 
     async def _read_value(self, key: str) -> bytes:
--- a/eelgrassgate/batches/submission.py
+++ b/eelgrassgate/batches/submission.py
@@ -11,6 +11,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.batches import records
+from eelgrassgate.batches import stored_items
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.store import base
@@ -39,9 +40,15 @@
 
 
 class Outcome(enum.Enum):
-    """Outcome of a write to the store."""
+    """Outcome of a write to the store.
+
+    Attributes:
+        REJECTED: The store found the write invalid, for example too large, and
+            will do so whenever it is repeated.
+    """
 
     DONE = "done"
+    REJECTED = "rejected"
     NOT_DONE = "not_done"
     UNKNOWN = "unknown"
     CONFLICT = "conflict"
@@ -66,7 +73,7 @@
         config_version: Version of the configuration that has the route.
     """
     now = time.time()
-    parts = records.split_items(items)
+    parts = stored_items.split_items(items)
     job = records.Job(
         call.id,
         workspace,
@@ -136,6 +143,8 @@
                 fault=failure.fault.value,
                 reason=failure.message,
             )
+            if failure.is_rejected:
+                return Outcome.REJECTED, None
             if failure.fault is base.Fault.NOT_DONE:
                 outcome = before
                 rejections += 1
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -23,6 +23,7 @@
 BAD_REQUEST: Final = 400
 NOT_FOUND: Final = 404
 CONFLICT: Final = 409
+CONTENT_TOO_LARGE: Final = 413
 UNAVAILABLE: Final = 503
 GATEWAY_TIMEOUT: Final = 504
 # Upper bound for long polling of results.
@@ -202,6 +203,8 @@
             await responder.reply(done_status)
         elif outcome is submission.Outcome.CONFLICT:
             await responder.reply(CONFLICT)
+        elif outcome is submission.Outcome.REJECTED:
+            await responder.reply(CONTENT_TOO_LARGE)
         elif outcome is submission.Outcome.NOT_DONE:
             await self._reply_unavailable(responder)
         else:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -140,6 +140,29 @@
         assert item is not None
         self.assertEqual(len(item), 300_000)
 
+    async def test_an_item_larger_than_a_value_is_stored(self) -> None:
+        # The store rejected the item's value, and the job was refused at every
+        # try of its caller.
+        store = make_store()
+        sizes = (10, 1_500_000, 10, 699_990, 700_000, 20)
+        items = tuple(
+            calls.BatchItem(
+                f"i{number}", "/batch/1", {}, bytes([number]) * size
+            )
+            for number, size in enumerate(sizes)
+        )
+        outcome = await submit(store, items=items)
+        self.assertEqual(outcome, submission.Outcome.DONE)
+        owned = await claim_job(store)
+        loaded = tuple(one.item for one in owned.waiting)
+        # Without a message, which would hold the bodies.
+        self.assertTrue(loaded == items)
+        reader = make_reader(store)
+        for item in items:
+            body = await reader.find_item(owned.job, item.id)
+            self.assertTrue(body == item.body, item.id)
+        self.assertIsNone(await reader.find_item(owned.job, "another"))
+
 
 async def make_owned(store: base.Store) -> ownership.OwnedJob:
     record = (await store.read(f"{records.OPEN_JOBS}{JOB}")).unwrap()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 
 from eelgrassgate.gateway import catalog
 from eelgrassgate.standins import endpoint
+from eelgrassgate.store import base
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 from tests import site as site_lib
@@ -197,6 +198,25 @@
         self.assertEqual(response.status, 504)
         self.assertLess(took_s, 0.4 + TIMING_TOLERANCE_S)
 
+    async def test_jobs_that_can_not_be_stored_are_refused_for_good(
+        self,
+    ) -> None:
+        # They were answered 503, for which their callers came back.
+        path = msgspec.json.encode("x" * base.MAX_VALUE_BYTES)
+        too_large = BATCH_BODY.replace(b'"/batch/1"', path)
+        for name, request_id, body, status in (
+            ("too large item", "r1", too_large, 413),
+        ):
+            with self.subTest(name):
+                async with site_lib.open_site() as site:
+                    response = await site_lib.call(
+                        site.address,
+                        "/batch/1",
+                        body=body,
+                        request_id=request_id,
+                    )
+                    self.assertEqual(response.status, status)
+
     async def test_wait_for_the_configuration_extends_the_timeout(
         self,
     ) -> None:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -25,6 +25,7 @@
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
+from eelgrassgate.batches import stored_items
 from eelgrassgate.batches import submission
 from eelgrassgate.config import records as config_records
 from eelgrassgate.gateway import batch_calls
@@ -696,7 +697,7 @@
         cases: tuple[tuple[Callable[[bytes], Any], bytes], ...] = (
             (records.decode_job, deep_json),
             (records.decode_head, deep_json),
-            (records.decode_items, b"\x91\x81\xa1x" + DEEP_MSGPACK),
+            (stored_items.decode_part, b"\x91\x81\xa1x" + DEEP_MSGPACK),
             (records.decode_results, b"\x91\x94\xa1i\xa1s\xa1t" + DEEP_MSGPACK),
         )
         for decode, value in cases:
