Bound a job's id by the bytes that it takes in keys

What callers would see: a job whose id has 120 characters or fewer, but more than 160 bytes once it is percent-encoded in keys, was answered 503 at each try, as the store rejects keys of over 200 bytes. It is answered 400 now, at once, as other ids that are too long; an id of up to 160 plain characters is accepted.

Evidence: the rows of test_jobs_that_can_not_be_stored_are_refused_for_good for ids; "id too long once it is quoted" was accepted by the stand-in store, which has no limit for keys, before the fix.

--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -23,8 +23,9 @@
 ITEMS: Final = "eelgrassgate/bulk/items/"
 RESULTS: Final = "eelgrassgate/bulk/results/"
 
-# Keys are limited to 200 bytes, including the longest prefix and a part number.
-MAX_ID_CHARS: Final = 120
+# Bound on a quoted job id. Keys are limited to 200 bytes, including the longest
+# prefix and a part number.
+MAX_QUOTED_ID_BYTES: Final = 160
 # Values are limited to 1 MiB of base64 text.
 MAX_PART_BYTES: Final = 700_000
 
@@ -131,6 +132,11 @@
     return urllib.parse.quote(job, safe="")
 
 
+def is_storable_id(job: str) -> bool:
+    """Return whether a job id fits into the keys of the job."""
+    return 0 < len(quote(job)) <= MAX_QUOTED_ID_BYTES
+
+
 def get_items_key(job: str, part: int) -> str:
     """Return the key of one part of a job's items."""
     return f"{ITEMS}{quote(job)}/{part}"
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -107,7 +107,7 @@
     ) -> None:
         """Accept a job; replies once all of it is in the store."""
         items = self._batch_dialect.read_items(call.body)
-        if not items or not call.id or len(call.id) > records.MAX_ID_CHARS:
+        if not items or not records.is_storable_id(call.id):
             await responder.reply(BAD_REQUEST)
             return
         retry_delay_s = await self._intake.check(call.deadline)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -205,6 +205,9 @@
         path = msgspec.json.encode("x" * base.MAX_VALUE_BYTES)
         too_large = BATCH_BODY.replace(b'"/batch/1"', path)
         for name, request_id, body, status in (
+            ("longest id", "x" * 160, BATCH_BODY, 202),
+            ("too long id", "x" * 161, BATCH_BODY, 400),
+            ("id too long once it is quoted", "/" * 60, BATCH_BODY, 400),
             ("too large item", "r1", too_large, 413),
         ):
             with self.subTest(name):
