Read all pages of the stored quarantine at a start

What operators would see: with more entries than the store puts into one page, a restarted process knew only the first of them, and the endpoints that the other prompt parts crash had to crash again.

Evidence: with pages of two of five entries, test_all_pages_are_read_at_start waited in vain for the third before the fix.

`pages.read_all` is the loop of the mirror, which uses it now.

--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -14,6 +14,7 @@
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery
 from eelgrassgate.http1 import downstream
+from eelgrassgate.store import base
 
 # Keys that operators write.
 CONFIG_KEY: Final = "op/config"
@@ -23,13 +24,12 @@
 
 MS_PER_S: Final = 1000.0
 
-MAX_KEY_BYTES: Final = 200
 # Longest name of an instance whose retirement can be reported.
-MAX_INSTANCE_BYTES: Final = MAX_KEY_BYTES - len(RETIREMENT_STATUS_PREFIX)
+MAX_INSTANCE_BYTES: Final = base.MAX_KEY_BYTES - len(RETIREMENT_STATUS_PREFIX)
 MAX_SLOTS: Final = 1_000_000
 MAX_INT64: Final = 2**63 - 1
 # The id of an endpoint is sent in a header.
-_ENDPOINT_ID: Final = re.compile(rf"[^\x00-\x20\x7f]{{1,{MAX_KEY_BYTES}}}")
+_ENDPOINT_ID: Final = re.compile(rf"[^\x00-\x20\x7f]{{1,{base.MAX_KEY_BYTES}}}")
 # No control characters, and no blank at either end (RFC 9110, 5.5).
 _HEADER_VALUE: Final = (
     r"^(?:[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?\Z"
--- a/eelgrassgate/quarantine/storage.py
+++ b/eelgrassgate/quarantine/storage.py
@@ -17,6 +17,7 @@
 from eelgrassgate import logs
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.store import base
+from eelgrassgate.store import pages
 
 PREFIX: Final = "eelgrassgate/quarantine/"
 RETRY_DELAY_S: Final = 1.0
@@ -63,7 +64,7 @@
 
     async def _read(self) -> bool:
         """Adopt what is stored; return whether the store responded."""
-        page = await self._store.read_range(PREFIX)
+        page = await pages.read_all(self._store, PREFIX)
         if isinstance(page, result.Failure):
             logs.log_message(
                 "quarantine:read_failed", reason=page.failure().message
--- a/eelgrassgate/store/base.py
+++ b/eelgrassgate/store/base.py
@@ -14,6 +14,8 @@
 from returns import result
 
 MAX_VALUE_BYTES: Final = 1_000_000
+# The platform's limit.
+MAX_KEY_BYTES: Final = 200
 
 
 class Fault(enum.Enum):
--- a/eelgrassgate/store/faulty.py
+++ b/eelgrassgate/store/faulty.py
@@ -28,6 +28,8 @@
             replies are lost.
         is_watch_silent: Watches stay open but yield nothing until they time
             out, even if the fault ends before.
+        max_key_bytes: Limit of keys that are written; 0 for none.
+        max_page_records: Most records in one page; 0 for no limit.
         failing_reads_by_key: Number of further reads of a key that fail.
     """
 
@@ -37,6 +39,8 @@
         self.delay_s = 0.0
         self.lost_replies = 0
         self.is_watch_silent = False
+        self.max_key_bytes = 0
+        self.max_page_records = 0
         self.failing_reads_by_key: dict[str, int] = {}
 
 
@@ -101,6 +105,7 @@
     ) -> result.Result[base.Page, base.StoreError]:
         """Read keys under `prefix`."""
         self.counts.reads += 1
+        limit = limit or self.faults.max_page_records
         answer = await self._call_inner(
             lambda: self._inner.read_range(prefix, after=after, limit=limit)
         )
@@ -114,6 +119,13 @@
     ) -> result.Result[base.Commit, base.StoreError]:
         """Apply changes if all preconditions hold."""
         self.counts.bytes_written += sum(map(_count_bytes, transaction.changes))
+        limit = self.faults.max_key_bytes
+        if limit and any(len(one.key) > limit for one in transaction.changes):
+            return result.Failure(
+                base.StoreError(
+                    base.Fault.NOT_DONE, "key is too long", is_rejected=True
+                )
+            )
         return await self._write(lambda: self._inner.commit(transaction))
 
     async def grant_lease(
--- a/eelgrassgate/store/mirror.py
+++ b/eelgrassgate/store/mirror.py
@@ -9,6 +9,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.store import base
+from eelgrassgate.store import pages
 
 # Backoff after a failed call. The maximum is shorter than the time in which an
 # instance must catch up once it reaches the store again.
@@ -68,24 +69,15 @@
 
     async def _load(self) -> bool:
         """Read the whole prefix; return False if the store failed."""
-        found_by_key: dict[str, base.Record] = {}
-        first_revision = 0
-        after = ""
-        while True:
-            answer = await self._store.read_range(self._prefix, after=after)
-            if isinstance(answer, result.Failure):
-                self._mark_disconnected(answer.failure().message)
-                return False
-            page = answer.unwrap()
-            # Pages may differ in revision; the watch starts at the oldest.
-            first_revision = first_revision or page.revision
-            found_by_key.update((one.key, one) for one in page.records)
-            if not page.has_more or not page.records:
-                break
-            after = page.records[-1].key
+        answer = await pages.read_all(self._store, self._prefix)
+        if isinstance(answer, result.Failure):
+            self._mark_disconnected(answer.failure().message)
+            return False
+        page = answer.unwrap()
+        found_by_key = {one.key: one for one in page.records}
         self._mark_connected()
         changes = [
-            base.Change(key, None, first_revision)
+            base.Change(key, None, page.revision)
             for key in self.records_by_key
             if key not in found_by_key
         ]
@@ -93,7 +85,7 @@
             known = self.records_by_key.get(key)
             if known is None or known.revision != record.revision:
                 changes.append(base.Change(key, record.value, record.revision))
-        self._apply_changes(tuple(changes), first_revision)
+        self._apply_changes(tuple(changes), page.revision)
         return True
 
     async def _watch(self) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -339,12 +339,16 @@
         tasks.start_soon(storage.create_storage(self.store, process).run)
         return process
 
-    def convict(self, process: quarantine_lib.Quarantine) -> None:
+    def convict(
+        self, process: quarantine_lib.Quarantine, part: str = "p"
+    ) -> None:
         for number in range(4):
             sent_at = anyio.current_time()
             process.record_end(
-                f"e{number}",
-                quarantine_lib.Run(f"r{number}", ("p",), sent_at, False),
+                f"{part}-e{number}",
+                quarantine_lib.Run(
+                    f"{part}-r{number}", (part,), sent_at, False
+                ),
             )
 
     async def count_stored(self) -> int:
@@ -383,6 +387,25 @@
                     )
                     tasks.cancel_scope.cancel()
 
+    async def test_all_pages_are_read_at_start(self) -> None:
+        # Only the first page was read; the endpoints that later parts crash
+        # had to crash again.
+        parts = [f"p{number}" for number in range(5)]
+        async with anyio.create_task_group() as tasks:
+            process = self.create(tasks)
+            for part in parts:
+                self.convict(process, part)
+            await self.wait_for_stored(5)
+            tasks.cancel_scope.cancel()
+        self.store.faults.max_page_records = 2
+        async with anyio.create_task_group() as tasks:
+            restarted = self.create(tasks)
+            with anyio.fail_after(TEST_TIMEOUT_S):
+                for part in parts:
+                    while not restarted.find_quarantined((part,)):
+                        await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
     async def test_released_part_is_deleted(self) -> None:
         async with anyio.create_task_group() as tasks:
             process = self.create(tasks)
