Don't let a rejected entry hold up the stored quarantine

What operators would see: an id of a prompt part of up to 64 characters, bounded in characters, takes up to 384 bytes once it is percent-encoded in a key, where the store takes 200. It rejected the write, which was sent again each second, and no later entry was stored, so that none survived a restart.

Evidence: test_part_that_is_long_when_quoted_does_not_hold_up_others and test_rejected_write_does_not_hold_up_others waited in vain for the second entry before the fix.

Why this fix works: a key that would be too long has a digest in place of the part, which is in the value as well. A write that the store rejects all the same is logged and dropped.

--- a/eelgrassgate/quarantine/storage.py
+++ b/eelgrassgate/quarantine/storage.py
@@ -4,6 +4,7 @@
 it starts; later ones arrive in the reports of its peers.
 """
 
+import hashlib
 import time
 from typing import Final
 import urllib.parse
@@ -85,7 +86,7 @@
     async def _write(self) -> bool:
         """Write one change; return whether the store responded."""
         part, until = next(iter(self._unsaved_until_by_part.items()))
-        key = PREFIX + urllib.parse.quote(part, safe="")
+        key = _format_key(part)
         change: base.Write | base.Delete = base.Delete(key)
         preconditions: tuple[base.Precondition, ...] = ()
         lease = 0
@@ -103,14 +104,28 @@
             base.Transaction(preconditions, (change,))
         )
         if isinstance(committed, result.Failure):
-            return False
-        if lease and not committed.unwrap().is_done:
+            error = committed.failure()
+            if not error.is_rejected:
+                return False
+            # It would hold up the other changes.
+            logs.log_message(
+                "quarantine:write_rejected", key=key, reason=error.message
+            )
+        elif lease and not committed.unwrap().is_done:
             await self._store.revoke_lease(lease)
         if self._unsaved_until_by_part.get(part) == until:
             del self._unsaved_until_by_part[part]
         return True
 
 
+def _format_key(part: str) -> str:
+    """Return the key of a suspect; a digest if its name is too long."""
+    key = PREFIX + urllib.parse.quote(part, safe="")
+    if len(key) <= base.MAX_KEY_BYTES:
+        return key
+    return PREFIX + hashlib.sha256(part.encode()).hexdigest()
+
+
 def create_storage(
     store: base.Store, quarantine: quarantine_lib.Quarantine
 ) -> Storage:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,6 +14,7 @@
 from eelgrassgate.quarantine import evidence
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.quarantine import storage
+from eelgrassgate.store import base
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 
@@ -387,6 +388,32 @@
                     )
                     tasks.cancel_scope.cancel()
 
+    async def test_part_that_is_long_when_quoted_does_not_hold_up_others(
+        self,
+    ) -> None:
+        # The store rejected its key; the write was sent for ever, and the
+        # parts after it were not stored.
+        self.store.faults.max_key_bytes = base.MAX_KEY_BYTES
+        long_part = "\u00e9" * 60
+        async with anyio.create_task_group() as tasks:
+            process = self.create(tasks)
+            self.convict(process, long_part)
+            self.convict(process, "q")
+            await self.wait_for_stored(2)
+            process.record_answer((long_part,))
+            await self.wait_for_stored(1)
+            tasks.cancel_scope.cancel()
+
+    async def test_rejected_write_does_not_hold_up_others(self) -> None:
+        # Likewise if the store rejects a write for another reason.
+        self.store.faults.max_key_bytes = len(storage.PREFIX) + 3
+        async with anyio.create_task_group() as tasks:
+            process = self.create(tasks)
+            self.convict(process, "rejected")
+            self.convict(process, "q")
+            await self.wait_for_stored(1)
+            tasks.cancel_scope.cancel()
+
     async def test_all_pages_are_read_at_start(self) -> None:
         # Only the first page was read; the endpoints that later parts crash
         # had to crash again.
