Bound an item's output by what fits into its result

What callers would see: an item with more output had a result that the store rejects. It held up the job for ever; since the rejected commit is split, it became a dead letter at once, which a job promises only after its retention.

Why this fix works: the output over all runs of an item is counted as JSON, the longest encoding. Beyond the bound the run ends, the item is not run again by this process, and it becomes a dead letter when its retention ends.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate.batches import records
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining as draining_lib
@@ -17,7 +18,7 @@
 # Time without data after which a run is abandoned. Must cover the wait for the
 # first event, which queues behind a few requests at the endpoint.
 IDLE_TIMEOUT_S: Final = 2.5
-# Bound on the output of one item.
+# Bound on the bytes that one run of an item may send.
 MAX_OUTPUT_BYTES: Final = 4_194_304
 OK: Final = 200
 UNPROCESSABLE: Final = 422
@@ -36,6 +37,7 @@
         NOT_SENT: The endpoint was unreachable; nothing was sent.
         WITHDRAWN: The endpoint began to drain before anything was sent.
         BROKEN: The response was incomplete or invalid; a retry may succeed.
+        OVERSIZED: The output is too large for a result; it is not retried.
     """
 
     COMPLETE = "complete"
@@ -45,6 +47,7 @@
     NOT_SENT = "not_sent"
     WITHDRAWN = "withdrawn"
     BROKEN = "broken"
+    OVERSIZED = "oversized"
 
 
 class Progress(msgspec.Struct):
@@ -61,6 +64,7 @@
         ended_endpoints: Number of endpoints in a row that ended before they
             had produced output for the item.
         prompt_parts: The item's `calls.Call.prompt_parts`.
+        output_bytes: Size of `event_data` as JSON.
     """
 
     item: calls.BatchItem
@@ -71,6 +75,7 @@
     failed_endpoints: set[str] = set()
     ended_endpoints: int = 0
     prompt_parts: tuple[str, ...] | None = None
+    output_bytes: int = 0
 
 
 async def run(
@@ -201,10 +206,10 @@
             return Outcome.FAILED, "status 500"
         return Outcome.BROKEN, f"status {head.status}"
     splitter = events.Splitter()
-    size = 0
+    received_bytes = 0
     async for part in connection.iterate():
-        size += len(part)
-        if size > MAX_OUTPUT_BYTES:
+        received_bytes += len(part)
+        if received_bytes > MAX_OUTPUT_BYTES:
             return Outcome.BROKEN, f"output exceeds {MAX_OUTPUT_BYTES} bytes"
         try:
             complete_events = splitter.feed(part)
@@ -217,9 +222,13 @@
                 return Outcome.BROKEN, "event is no valid text"
             if not _is_next_event(progress.last_event, event.id):
                 return Outcome.BROKEN, f"event {event.id} is out of order"
-            progress.last_event = event.id or progress.last_event
             if event.data is not None:
+                size = records.measure_text(event.data)
+                if progress.output_bytes + size > records.MAX_TEXT_BYTES:
+                    return Outcome.OVERSIZED, "output is too large for a result"
+                progress.output_bytes += size
                 progress.event_data.append(event.data)
+            progress.last_event = event.id or progress.last_event
     if not progress.last_event and not progress.event_data:
         return Outcome.BROKEN, "stream ended before the first event"
     if splitter.has_partial_event():
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -28,6 +28,9 @@
 MAX_QUOTED_ID_BYTES: Final = 160
 # Values are limited to 1 MiB of base64 text.
 MAX_PART_BYTES: Final = 700_000
+# Bound on the output of one item as JSON, so that its result fits into a value
+# and into a page.
+MAX_TEXT_BYTES: Final = 650_000
 
 # Bounds on numbers in stored values; sums of them fit into 64 bits, and times
 # in seconds can be converted to milliseconds.
@@ -106,6 +109,11 @@
 _JOB_DECODER: Final = msgspec.json.Decoder(Job)
 
 
+def measure_text(text: str) -> int:
+    """Return the size of part of an output in bytes, as JSON."""
+    return len(msgspec.json.encode(text))
+
+
 def measure_result(one: Result) -> int:
     """Return the size of a result in bytes, as JSON.
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 import anyio
+import msgspec
 
 from eelgrassgate import deadlines
 from eelgrassgate.batches import owner as owner_lib
@@ -80,11 +81,12 @@
     workspace: str = site_lib.WORKSPACE,
     config_version: int = 1,
     items: tuple[calls.BatchItem, ...] | None = None,
+    retention_s: float = ROUTE.retention_s,
 ) -> submission.Outcome:
     accepted = await submission.submit(
         store,
         make_call(),
-        ROUTE,
+        msgspec.structs.replace(ROUTE, retention_s=retention_s),
         workspace,
         make_items(count) if items is None else items,
         config_version,
@@ -651,11 +653,7 @@
             await submit(harness.store, items=make_large_items(7))
             with anyio.fail_after(TIMEOUT_S):
                 await harness.read_all()
-            record = (
-                await harness.store.read(f"{records.HEADS}{JOB}")
-            ).unwrap()
-            assert record is not None
-            self.assertEqual(records.decode_head(record.value).count(), 7)
+            self.assertEqual(await self.read_count(harness.store), 7)
 
     async def test_a_job_that_is_not_loaded_is_not_read_from_its_owner(
         self,
@@ -675,6 +673,32 @@
             # Only a job that is not loaded has no item that is left to run.
             self.assertFalse(found.is_finished())
 
+    async def test_an_output_too_large_for_a_result_waits_for_its_retention(
+        self,
+    ) -> None:
+        # Its result was rejected by the store, and it was given up at once.
+        async with open_harness() as harness:
+            for one in harness.endpoints:
+                one.behavior = endpoint.Behavior(events=400)
+            with (
+                mock.patch.object(base, "MAX_VALUE_BYTES", 2_000),
+                mock.patch.object(
+                    records, "MAX_TEXT_BYTES", 1_000, create=True
+                ),
+            ):
+                await submit(harness.store, 1, retention_s=3.0)
+                await anyio.sleep(2.0)
+                self.assertEqual(await self.read_count(harness.store), 0)
+                (result,) = (await harness.read_all()).values()
+            self.assertEqual(result.state, records.DEAD_LETTER)
+            runs = sum(len(one.runs) for one in harness.endpoints)
+            self.assertEqual(runs, 1)
+
+    async def read_count(self, store: base.Store) -> int:
+        """Return the number of results in the store."""
+        record = (await store.read(f"{records.HEADS}{JOB}")).unwrap()
+        return records.decode_head(record.value).count() if record else 0
+
     async def test_a_preempted_item_resumes(self) -> None:
         async with open_harness(slots=4) as harness:
             for one in harness.endpoints:
