Count cached results by the memory that they take

What operators could see: caches of up to four times their bound.

Evidence: test_cached_results_are_bounded_in_memory: twelve texts of over 200,000 bytes each stayed in a cache of 1,000,000 before the fix.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -273,13 +273,12 @@
         """Cache a closed job's results for readers; evicts the oldest jobs."""
         self._cached_by_id[name] = owned
         size = sum(
-            len(one.text)
+            records.count_memory(cached.committed)
             for cached in self._cached_by_id.values()
-            for one in cached.committed
         )
         while size > MAX_CACHED_BYTES and len(self._cached_by_id) > 1:
             dropped = self._cached_by_id.pop(next(iter(self._cached_by_id)))
-            size -= sum(len(one.text) for one in dropped.committed)
+            size -= records.count_memory(dropped.committed)
 
     def _is_stale_claim(self, claim: base.Record) -> bool:
         """Return whether a claim keeps an untracked job from being claimed.
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import sys
 from typing import Annotated
 from typing import Final
 import urllib.parse
@@ -123,6 +124,11 @@
     return len(msgspec.json.encode(one))
 
 
+def count_memory(found: Iterable[Result]) -> int:
+    """Return how many bytes of memory the texts of results take."""
+    return sum(sys.getsizeof(one.text) for one in found)
+
+
 def take_results(found: Iterable[Result], max_bytes: int) -> list[Result]:
     """Return the first results, up to a size; at least one if there is any."""
     taken: list[Result] = []
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -212,10 +212,10 @@
             return
         self._results_by_job[job] = [*current, *fetched.results]
         self._results_by_job.move_to_end(job)
-        self._results_bytes += sum(len(one.text) for one in fetched.results)
+        self._results_bytes += records.count_memory(fetched.results)
         while self._results_bytes > MAX_CACHE_BYTES:
             _, dropped = self._results_by_job.popitem(last=False)
-            self._results_bytes -= sum(len(one.text) for one in dropped)
+            self._results_bytes -= records.count_memory(dropped)
 
     async def _fetch_results(
         self, job: records.Job, after: int, wait_until: float
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -422,6 +422,22 @@
             [(records.DEAD_LETTER, ""), (records.COMPLETED, "y")],
         )
 
+    async def test_cached_results_are_bounded_in_memory(self) -> None:
+        # They were counted in characters, which take up to four bytes.
+        store = make_store()
+        await submit(store, 12)
+        owned = await claim_job(store)
+        complete_all(owned, "\U0001f33f" * 50_000)
+        await commit_all(owned)
+        reader = make_reader(store)
+        with mock.patch.object(results, "MAX_CACHE_BYTES", 1_000_000):
+            after = 0
+            while after < owned.job.total:
+                listing = await reader.read_results(owned.job, after, 0.0)
+                after = listing.following
+        # Each text takes over 200,000 bytes, so that twelve don't fit.
+        self.assertEqual(sum(map(len, reader._results_by_job.values())), 0)
+
     def test_a_page_is_bounded_as_it_is_sent(self) -> None:
         # Pages were bounded in characters, and longer than callers take.
         for name, character in self.CHARACTERS.items():
