Run an item again elsewhere when its output is too large for a result

The bound on an item's output held the item until its retention ended after one run, also if the output was a fault of one endpoint, which may send bytes without end. test_items_are_held_by_endless_responses found it in the suite, with "events without ids" at full speed. Before the bound, such an output stayed in the item's progress, so that the next run's output was added to it.

Evidence: test_an_endless_output_of_one_endpoint_costs_no_item waited in vain for the item before this fix.

Why this fix works: the output so far is dropped and the item runs again as after any broken response, up to the route's number of attempts. Only then does it wait for the end of its retention.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -37,7 +37,6 @@
         NOT_SENT: The endpoint was unreachable; nothing was sent.
         WITHDRAWN: The endpoint began to drain before anything was sent.
         BROKEN: The response was incomplete or invalid; a retry may succeed.
-        OVERSIZED: The output is too large for a result; it is not retried.
     """
 
     COMPLETE = "complete"
@@ -47,7 +46,6 @@
     NOT_SENT = "not_sent"
     WITHDRAWN = "withdrawn"
     BROKEN = "broken"
-    OVERSIZED = "oversized"
 
 
 class Progress(msgspec.Struct):
@@ -65,6 +63,7 @@
             had produced output for the item.
         prompt_parts: The item's `calls.Call.prompt_parts`.
         output_bytes: Size of `event_data` as JSON.
+        oversized_runs: Number of runs whose output was too large.
     """
 
     item: calls.BatchItem
@@ -76,6 +75,17 @@
     ended_endpoints: int = 0
     prompt_parts: tuple[str, ...] | None = None
     output_bytes: int = 0
+    oversized_runs: int = 0
+
+    def discard_oversized(self) -> None:
+        """Drop an output too large for a result; the next run starts anew.
+
+        It may be a fault of the endpoint.
+        """
+        self.event_data = []
+        self.last_event = ""
+        self.output_bytes = 0
+        self.oversized_runs += 1
 
 
 async def run(
@@ -225,7 +235,8 @@
             if event.data is not None:
                 size = records.measure_text(event.data)
                 if progress.output_bytes + size > records.MAX_TEXT_BYTES:
-                    return Outcome.OVERSIZED, "output is too large for a result"
+                    progress.discard_oversized()
+                    return Outcome.BROKEN, "output is too large for a result"
                 progress.output_bytes += size
                 progress.event_data.append(event.data)
             progress.last_event = event.id or progress.last_event
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -609,11 +609,6 @@
         if outcome is items.Outcome.IMPOSSIBLE:
             run.owned.record_result(progress, records.DEAD_LETTER, reason)
             return
-        if outcome is items.Outcome.OVERSIZED:
-            # Becomes a dead letter when its retention ends.
-            self._paused_until_by_item[progress.item.id] = deadlines.NEVER
-            run.owned.waiting.insert(0, progress)
-            return
         if outcome is items.Outcome.FAILED:
             progress.failures += 1
             progress.failed_endpoints.add(run.endpoint.id)
@@ -636,6 +631,9 @@
             )
             if outcome in {items.Outcome.NOT_SENT, items.Outcome.BROKEN}:
                 self._placement.record_unreachable(run.endpoint)
+            if progress.oversized_runs >= route.max_attempts:
+                # Becomes a dead letter when its retention ends.
+                self._paused_until_by_item[progress.item.id] = deadlines.NEVER
         run.owned.waiting.insert(0, progress)
 
     def handle_report(self, report: reports_lib.Report) -> None:
