Answer each request before a shutdown of a gateway ends

Seen by callers of another operator: in a planned stop of one gateway, in calm, requests that came late in the grace period were taken and passed on, and cut with no answer when it ended, among them requests that must not run twice (LOST).

Cause: during a drain the gateway took each request that it read, on connections that were still open, and passed it on with its caller's time limit, whatever was left of the grace period. Then the task group was cancelled, and the connections of requests without a response were closed.

A response that has begun may go on until the end. The sequence has moved to `gateway/shutdown.py`; "accepting ended" and "requests ended" tell its steps in the logs.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.batches import intake
 from eelgrassgate.batches import results
@@ -15,14 +14,10 @@
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.gateway import service as service_lib
 from eelgrassgate.gateway import settings
+from eelgrassgate.gateway import shutdown as shutdown_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.peering import registry
 
-# How long to keep accepting connections after readiness fails: the load
-# balancer probes once a second and removes the gateway after two failures.
-LOAD_BALANCER_NOTICE_S: Final = 2.5
-# Part of the grace period kept for deregistration.
-SHUTDOWN_MARGIN_S: Final = 0.5
 SHARE_UPDATE_INTERVAL_S: Final = 0.05
 OK: Final = 200
 UNAVAILABLE: Final = 503
@@ -38,6 +33,7 @@
         self._rates = rates_lib.create_rates(node.reports.record_admission)
         node.reports.subscribe(self._rates)
         node.discovery.subscribe_to_catalog(self._rates.configure)
+        self._shutdown = shutdown_lib.create_shutdown()
         forwarder = forwarding.create_forwarder(
             adapters.dialect,
             node.pool,
@@ -45,6 +41,7 @@
             node.loads,
             node.quarantine,
             node.metrics,
+            self._shutdown,
         )
         reader = results.create_reader(
             adapters.store, node.directory, node.reports.is_directly_reachable
@@ -64,6 +61,7 @@
                 adapters.batch_dialect,
             ),
             node.metrics,
+            self._shutdown,
         )
         self._listener = downstream.Listener(
             self._read_limits, self._service.handle, self._is_closing
@@ -73,17 +71,18 @@
             self._handle_readiness,
             self._is_readiness_closing,
         )
-        self._is_draining = False
 
     def is_ready(self) -> bool:
         """Return whether the gateway accepts new requests."""
-        return self._node.discovery.is_loaded() and not self._is_draining
+        return (
+            self._node.discovery.is_loaded() and not self._shutdown.is_draining
+        )
 
     def _read_limits(self) -> downstream.Limits:
         return self._node.discovery.get_catalog().limits
 
     def _is_closing(self) -> bool:
-        return self._is_draining
+        return self._shutdown.is_draining
 
     def _is_readiness_closing(self) -> bool:
         return False
@@ -121,16 +120,9 @@
     async def _drain(
         self, accept_scope: anyio.CancelScope, grace_s: float
     ) -> None:
-        """Wait for the load balancer, then finish requests in flight."""
-        deadline = deadlines.after(grace_s - SHUTDOWN_MARGIN_S)
-        self._is_draining = True
-        logs.log_message(
-            "shutdown started", in_hand=self._listener.count_active()
-        )
-        await anyio.sleep(min(LOAD_BALANCER_NOTICE_S, grace_s / 2.0))
-        accept_scope.cancel()
-        cut = await self._listener.drain(deadline)
-        with anyio.move_on_after(SHUTDOWN_MARGIN_S / 2.0):
+        """Finish requests in flight, then deregister."""
+        cut = await self._shutdown.drain(self._listener, accept_scope, grace_s)
+        with anyio.move_on_after(shutdown_lib.SHUTDOWN_MARGIN_S / 2.0):
             self._node.reports.is_leaving = True
             await self._node.registration.deregister()
         logs.log_message("shutdown completed", cut=cut)
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -17,6 +17,7 @@
 from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.gateway import shutdown as shutdown_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
@@ -115,6 +116,7 @@
         load_table: loads.Loads,
         quarantine: quarantine_lib.Quarantine,
         metrics: metrics_lib.Metrics,
+        shutdown: shutdown_lib.Shutdown,
     ) -> None:
         """Initialize; see `create_forwarder`."""
         self._dialect = dialect
@@ -123,6 +125,7 @@
         self._loads = load_table
         self._quarantine = quarantine
         self._metrics = metrics
+        self._shutdown = shutdown
 
     async def forward(
         self,
@@ -131,7 +134,7 @@
         workspace: str,
         responder: downstream.Responder,
     ) -> None:
-        """Respond to a call within its deadline.
+        """Respond to a call within its deadline and before a shutdown ends.
 
         Raises:
             IncompleteResponseError: The response broke off; the connection
@@ -143,7 +146,7 @@
         call = msgspec.structs.replace(
             call, fingerprint=calls.compute_fingerprint(call, workspace)
         )
-        with anyio.move_on_after(deadlines.compute_remaining(call.deadline)):
+        with self._shutdown.bound(responder, call.deadline):
             try:
                 await self._forward_with_retries(
                     call, route, workspace, responder, progress
@@ -158,6 +161,8 @@
                 # The caller learns truthfully whether the request may have run.
                 logs.log_exception("internal error", id=call.id)
                 reason = "internal error"
+        if self._shutdown.is_ending and not deadlines.is_past(call.deadline):
+            reason = "shutdown"
         await self._reply_failure(call, progress, responder, reason)
 
     async def _forward_with_retries(
@@ -705,6 +710,7 @@
     load_table: loads.Loads,
     quarantine: quarantine_lib.Quarantine,
     metrics: metrics_lib.Metrics,
+    shutdown: shutdown_lib.Shutdown,
 ) -> Forwarder:
     """Create a forwarder.
 
@@ -715,5 +721,8 @@
         load_table: Counts requests in flight.
         quarantine: Tells which requests would crash endpoints.
         metrics: Counts attempts.
+        shutdown: Ends calls when the process shuts down.
     """
-    return Forwarder(dialect, pool, placement, load_table, quarantine, metrics)
+    return Forwarder(
+        dialect, pool, placement, load_table, quarantine, metrics, shutdown
+    )
--- a/eelgrassgate/gateway/service.py
+++ b/eelgrassgate/gateway/service.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
+import anyio
 import msgspec
 
 from eelgrassgate import deadlines
@@ -14,14 +15,18 @@
 from eelgrassgate.gateway import forwarding
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import rates as rates_lib
+from eelgrassgate.gateway import shutdown as shutdown_lib
 from eelgrassgate.http1 import downstream
 
 UNAUTHORIZED: Final = 401
 NOT_FOUND: Final = 404
 TOO_MANY_REQUESTS: Final = 429
 UNAVAILABLE: Final = 503
+GATEWAY_TIMEOUT: Final = 504
 # Retry delay until the first configuration has been loaded.
 NO_CONFIGURATION_RETRY_S: Final = 0.5
+# Other instances serve a request that this one refuses as it shuts down.
+SHUTDOWN_RETRY_S: Final = 0.0
 
 
 class Service:
@@ -37,8 +42,10 @@
         forwarder: forwarding.Forwarder,
         batches: batch_calls.BatchCalls,
         metrics: metrics_lib.Metrics,
+        shutdown: shutdown_lib.Shutdown,
     ) -> None:
         """Initialize; see `create_service`."""
+        self._shutdown = shutdown
         self._read_config_age_s = read_config_age_s
         self._wait_until_loaded = wait_until_loaded
         self._read_catalog = read_catalog
@@ -115,9 +122,11 @@
             return
         if job_call is not None:
             wait_s = self._dialect.read_wait_s(incoming)
-            await self._batches.handle_job_call(
-                job_call, call, workspace, wait_s, responder
-            )
+            with self._shutdown.bound(responder) as scope:
+                await self._batches.handle_job_call(
+                    job_call, call, workspace, wait_s, responder
+                )
+            await self._reply_if_ended(call, scope, responder)
             return
         assert route is not None
         if route.timeout_s:
@@ -126,8 +135,15 @@
                 call, deadline=min(call.deadline, times_out_at)
             )
         if route.kind is catalog.Kind.BATCH:
-            await self._batches.submit(
-                call, route, workspace, current.version, responder
+            with self._shutdown.bound(responder) as scope:
+                await self._batches.submit(
+                    call, route, workspace, current.version, responder
+                )
+            await self._reply_if_ended(call, scope, responder)
+            return
+        if self._shutdown.is_refusing:
+            await self._refuse(
+                call, UNAVAILABLE, "shutdown", responder, SHUTDOWN_RETRY_S
             )
             return
         await self._forward(call, route, workspace, responder)
@@ -178,12 +194,27 @@
                     workspace, route.kind.value, responder.begun_at - started_at
                 )
 
+    async def _reply_if_ended(
+        self,
+        call: calls.Call,
+        scope: anyio.CancelScope,
+        responder: downstream.Responder,
+    ) -> None:
+        """Respond to a request about a job that a shutdown has ended.
+
+        What it asked for may have been done.
+        """
+        if scope.cancelled_caught and not responder.has_begun:
+            logs.log_message("request failed", id=call.id, reason="shutdown")
+            await responder.reply(GATEWAY_TIMEOUT)
+
     async def _refuse(
         self,
         call: calls.Call,
         status: int,
         reason: str,
         responder: downstream.Responder,
+        retry_after_s: float = NO_CONFIGURATION_RETRY_S,
     ) -> None:
         logs.log_message(
             "refused",
@@ -194,7 +225,7 @@
             confirmed_ms=deadlines.to_ms(self._read_config_age_s()),
         )
         headers = self._dialect.write_refusal_headers(
-            NO_CONFIGURATION_RETRY_S if status == UNAVAILABLE else None
+            retry_after_s if status == UNAVAILABLE else None
         )
         await responder.reply(status, headers)
 
@@ -208,6 +239,7 @@
     forwarder: forwarding.Forwarder,
     batches: batch_calls.BatchCalls,
     metrics: metrics_lib.Metrics,
+    shutdown: shutdown_lib.Shutdown,
 ) -> Service:
     """Create the request handler.
 
@@ -220,6 +252,7 @@
         forwarder: Forwards requests.
         batches: Handles requests to the batch job API.
         metrics: Counts requests.
+        shutdown: Ends requests when the process shuts down.
     """
     return Service(
         read_catalog,
@@ -230,4 +263,5 @@
         forwarder,
         batches,
         metrics,
+        shutdown,
     )
--- a/tests/site.py
+++ b/tests/site.py
@@ -21,6 +21,7 @@
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import rates as rates_lib
 from eelgrassgate.gateway import service as service_lib
+from eelgrassgate.gateway import shutdown
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import failures
@@ -148,11 +149,11 @@
             if body:
                 data += client.send(h11.Data(data=body)) or b""
             await stream.send(data + (client.send(h11.EndOfMessage()) or b""))
-            await _read(client, stream, response)
+            await read_response(client, stream, response)
     return response
 
 
-async def _read(
+async def read_response(
     client: h11.Connection, stream: Any, response: Response
 ) -> None:
     while True:
@@ -226,6 +227,7 @@
         self.admitted: list[str] = []
         self.rates = rates_lib.create_rates(self.admitted.append)
         self.metrics = metrics_lib.create_metrics()
+        self.shutdown = shutdown.create_shutdown()
         self.address = ""
         self.load_delay_s = 0.0
         self.listener = downstream.Listener(
@@ -246,9 +248,11 @@
                 self.loads,
                 self.quarantine,
                 self.metrics,
+                self.shutdown,
             ),
             batches,
             self.metrics,
+            self.shutdown,
         )
 
     async def _handle(
