Announce the close in each response that begins during a shutdown

Seen by callers: whether a response says `Connection: close` was decided when its request had been read. A request that was in flight when a shutdown began got a response that let its connection be used again, and the next request there met the close.

Evidence: test_response_that_begins_in_a_shutdown_announces_the_close, and test_request_in_flight_at_the_end_is_answered for each kind of route, found no such header before the fix.

Why this fix works: it is decided when the head is sent.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -84,11 +84,19 @@
     """
 
     def __init__(
-        self, connection: h11.Connection, stream: abc.SocketStream
+        self,
+        connection: h11.Connection,
+        stream: abc.SocketStream,
+        must_close: Callable[[], bool],
     ) -> None:
-        """Initialize for the request that was just read."""
+        """Initialize for the request that was just read.
+
+        `must_close` is asked when the head is sent, so that a response that
+        begins during a shutdown also announces the close.
+        """
         self._http = connection
         self._stream = stream
+        self._must_close = must_close
         self._has_disconnected = False
         self.status = 0
         self.begun_at = 0.0
@@ -131,6 +139,7 @@
         sent = list(headers)
         if length is not None:
             sent.append((b"content-length", b"%d" % length))
+        self.is_closing = self.is_closing or self._must_close()
         if self.is_closing:
             sent.append((b"connection", b"close"))
         return h11.Response(
@@ -261,7 +270,7 @@
         logs.log_message("request unreadable", status=status)
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        responder = Responder(self._http, self._stream)
+        responder = Responder(self._http, self._stream, self._is_closing)
         responder.is_closing = True
         try:
             await responder.reply(status)
@@ -347,8 +356,7 @@
     async def _handle_request(self, incoming: IncomingRequest) -> bool:
         """Handle a request; returns whether to keep the connection."""
         self.is_idle = False
-        responder = Responder(self._http, self._stream)
-        responder.is_closing = self._is_closing()
+        responder = Responder(self._http, self._stream, self._is_closing)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 self._watch_disconnect, responder, tasks.cancel_scope
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -281,6 +281,7 @@
                     self.assertEqual(
                         (response.status, response.is_complete), (502, True)
                     )
+                    self.assertEqual(response.headers[b"connection"], b"close")
                     self.assertGreater(took_s, 0.6 * GRACE_S)
                     self.assertLess(took_s, GRACE_S)
 
@@ -299,6 +300,20 @@
                 (response.status, response.is_complete), (504, True)
             )
 
+    async def test_response_that_begins_in_a_shutdown_announces_the_close(
+        self,
+    ) -> None:
+        # The caller used the connection again, and its request crossed the
+        # close.
+        async with open_gateway() as fixture, fixture.connect() as one:
+            fixture.set_behavior(events=4, event_delay_s=0.2)
+            await one.send(make_request("/stream/a", "early"))
+            await fixture.wait(lambda: bool(fixture.list_runs()))
+            fixture.begin_shutdown()
+            response = await one.read_response()
+            self.assertTrue(response.is_complete)
+            self.assertEqual(response.headers[b"connection"], b"close")
+
     async def test_stream_that_can_end_is_not_cut(self) -> None:
         async with open_gateway() as fixture, fixture.connect() as one:
             fixture.set_behavior(events=20, event_delay_s=0.1)
