Accept the connections that wait before a gateway stops listening

Evidence: 40 callers that connect while the event loop does not run; without the wait, test_connections_that_wait_to_be_accepted_are_not_reset ends with a connection reset by peer.

Why this fix works: the gateway goes on accepting until no connection waits, at most 0.25 s. One that arrives between that check and the close is still reset; its request has not been read.

--- a/eelgrassgate/gateway/shutdown.py
+++ b/eelgrassgate/gateway/shutdown.py
@@ -87,6 +87,7 @@
         self.is_draining = True
         logs.log_message("shutdown started", in_hand=listener.count_active())
         await anyio.sleep(min(LOAD_BALANCER_NOTICE_S, grace_s / 2.0))
+        await listener.accept_pending()
         accept_scope.cancel()
         self.is_refusing = True
         logs.log_message("accepting ended", in_hand=listener.count_active())
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import http
+from typing import Any
 from typing import Final
 
 import anyio
@@ -21,6 +22,9 @@
 # Listen backlog; callers reconnect in bursts after a restart.
 BACKLOG: Final = 1024
 ACCEPT_RETRY_DELAY_S: Final = 0.05
+# How long, and how often, to check for connections that are not accepted yet.
+ACCEPT_PENDING_TIMEOUT_S: Final = 0.25
+ACCEPT_POLL_INTERVAL_S: Final = 0.005
 # How often a drain checks for idle connections.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # A connection is closed if the client does not read for this long.
@@ -438,6 +442,7 @@
         self._handle = handle
         self._is_closing = is_closing
         self._connections: set[Connection] = set()
+        self._listeners: Sequence[abc.Listener[Any]] = ()
 
     def count_active(self) -> int:
         """Return the number of connections with a request in flight."""
@@ -486,6 +491,7 @@
         async with await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=BACKLOG
         ) as listener:
+            self._listeners = listener.listeners
             task_status.started(listener.extra(abc.SocketAttribute.local_port))
             while True:
                 try:
@@ -497,6 +503,15 @@
                     )
                 await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
+    async def accept_pending(self) -> None:
+        """Wait until `serve` has accepted the connections that are queued.
+
+        They would be reset when it stops listening.
+        """
+        with anyio.move_on_after(ACCEPT_PENDING_TIMEOUT_S):
+            while any(map(sockets.is_readable, self._listeners)):
+                await anyio.sleep(ACCEPT_POLL_INTERVAL_S)
+
     async def run(
         self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -84,12 +84,13 @@
     return False
 
 
-def is_readable(stream: abc.SocketStream) -> bool:
-    """Return whether data or an end of stream is ready to be read.
+def is_readable(opened: anyio.TypedAttributeProvider) -> bool:
+    """Return whether data, an end of stream or a connection is ready.
 
-    Either of them makes an idle connection unusable.
+    The first two make an idle connection unusable; a listener has connections
+    to accept.
     """
-    raw: Any = stream.extra(abc.SocketAttribute.raw_socket)
+    raw: Any = opened.extra(abc.SocketAttribute.raw_socket)
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
     return bool(poll.poll(0))
