Answer online requests before a shutdown of an entry ends

Evidence: test_request_in_flight_at_the_end_of_a_drain_is_answered got 500 before the fix, and gets 504 with `X-Request-Ran: unknown` now.

The exit code still tells that requests were ended before they were done.

--- a/eelgrassgate/entry/daemon.py
+++ b/eelgrassgate/entry/daemon.py
@@ -35,6 +35,8 @@
 
 OPERATORS_DRAIN_S: Final = 1.0
 LEAVE_TIMEOUT_S: Final = 10.0
+# Time before the end of a drain in which final responses are written.
+RESPONSE_MARGIN_S: Final = 0.25
 LINK_BUDGET_INTERVAL_S: Final = 1.0
 
 _LOG: Final[Any] = eliot.log_message
@@ -95,6 +97,7 @@
             lambda: entry_services.source.fleet.limits,
         )
         self._is_leaving = False
+        self._ended_requests = 0
         self.link_address = ""
 
     def is_ready(self) -> bool:
@@ -148,6 +151,7 @@
             tasks.start_soon(self._update_link_budget)
             tasks.start_soon(self._owner.run)
             tasks.start_soon(self._drain, stop, closing, drained)
+            tasks.start_soon(self._end_requests, closing)
             await server.serve(
                 application,
                 self._settings.listen,
@@ -155,7 +159,7 @@
                 self._get_drain_timeout_s,
                 task_status=task_status,
             )
-            aborted = self.count_in_flight()
+            aborted = self.count_in_flight() + self._ended_requests
             await drained.wait()
             with anyio.move_on_after(LEAVE_TIMEOUT_S):
                 await self._services.leave()
@@ -187,6 +191,16 @@
             await self._close_after_notice(closing)
         drained.set()
 
+    async def _end_requests(self, closing: anyio.Event) -> None:
+        """Answer the requests that are in flight when the drain ends."""
+        await closing.wait()
+        await anyio.sleep(self._get_drain_timeout_s() - RESPONSE_MARGIN_S)
+        self._ended_requests = self._exchanges.abort_online(
+            outcomes.refuse_unknown(
+                outcomes.Code.DEADLINE_EXCEEDED, "The entry shuts down."
+            )
+        )
+
     async def _serve_operators(self, closing: anyio.Event) -> None:
         await server.serve(
             api.create_app(self.read_status),
--- a/eelgrassgate/entry/exchanges.py
+++ b/eelgrassgate/entry/exchanges.py
@@ -160,6 +160,17 @@
             if digest and not is_valid(digest):
                 exchange.abort(WITHDRAWN)
 
+    def abort_online(self, refusal: outcomes.Refusal) -> int:
+        """Abort the exchanges of online requests; return their number."""
+        online = [
+            exchange
+            for exchange in self._by_attempt.values()
+            if exchange.info.klass is outcomes.RequestClass.ONLINE
+        ]
+        for exchange in online:
+            exchange.abort(refusal)
+        return len(online)
+
     def close(self, exchange: Exchange) -> None:
         """Close an exchange; later messages for it are dropped."""
         self._by_attempt.pop(exchange.info.attempt, None)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -94,6 +94,32 @@
 
 
 class EntryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_in_flight_at_the_end_of_a_drain_is_answered(
+        self,
+    ) -> None:
+        # It got an error that did not tell whether it may have run.
+        agent = fakes.FakeAgent("a1", ignore)
+        async with (
+            fakes.run_entry(agent) as harness,
+            httpx.AsyncClient(
+                base_url=harness.url, timeout=TIMEOUT_S
+            ) as client,
+            anyio.create_task_group() as tasks,
+        ):
+
+            async def stop() -> None:
+                await agent.submitted.wait()
+                harness.stop.set()
+
+            tasks.start_soon(stop)
+            response = await client.post(
+                "/ledger/hours", headers={"authorization": "Bearer key-desk"}
+            )
+            self.assertEqual(response.status_code, 504)
+            self.assertEqual(response.headers["x-request-ran"], "unknown")
+            error = response.json()["error"]
+            self.assertEqual(error["message"], "The entry shuts down.")
+
     async def test_bad_requests_get_an_error(self) -> None:
         agent = fakes.FakeAgent("a1", fakes.respond)
         async with (
