Bound the ids of items

Ids of over 8,000 bytes, which fit into no header, are refused with 400.

Evidence: "too long id of an item" was accepted before.

--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -27,6 +27,8 @@
 # Bound on a quoted job id. Keys are limited to 200 bytes, including the longest
 # prefix and a part number.
 MAX_QUOTED_ID_BYTES: Final = 160
+# Bound on an item's id, which is stored with its result.
+MAX_ITEM_ID_BYTES: Final = 8_000
 # Values are limited to 1 MiB of base64 text.
 MAX_PART_BYTES: Final = 700_000
 # Bound on the output of one item as JSON, so that its result fits into a value
@@ -151,6 +153,11 @@
     return 0 < len(quote(job)) <= MAX_QUOTED_ID_BYTES
 
 
+def is_storable_item_id(item: str) -> bool:
+    """Return whether an item id fits into a result, also of a dead letter."""
+    return len(item.encode()) <= MAX_ITEM_ID_BYTES
+
+
 def get_items_key(job: str, part: int) -> str:
     """Return the key of one part of a job's items."""
     return f"{ITEMS}{quote(job)}/{part}"
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -107,7 +107,10 @@
     ) -> None:
         """Accept a job; replies once all of it is in the store."""
         items = self._batch_dialect.read_items(call.body)
-        if not items or not records.is_storable_id(call.id):
+        has_valid_ids = records.is_storable_id(call.id) and all(
+            records.is_storable_item_id(item.id) for item in items or ()
+        )
+        if not items or not has_valid_ids:
             await responder.reply(BAD_REQUEST)
             return
         retry_delay_s = await self._intake.check(call.deadline)
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -385,9 +385,12 @@
         finally:
             connection.on_receive = _do_nothing
             connection.stall_deadline = deadlines.NEVER
-            is_worn_out = len(connection.request_ids) >= MAX_REQUESTS
-            can_reuse = connection.is_reusable and not is_worn_out
-            if can_reuse and connection.idle_until and request_id != "":
+            # A late response to a request without an id fits any request.
+            is_spent = (
+                request_id == "" or len(connection.request_ids) >= MAX_REQUESTS
+            )
+            can_reuse = connection.is_reusable and not is_spent
+            if can_reuse and connection.idle_until:
                 self._release(connection)
             else:
                 await connection.close()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -203,12 +203,14 @@
     ) -> None:
         # They were answered 503, for which their callers came back.
         path = msgspec.json.encode("x" * base.MAX_VALUE_BYTES)
+        long_item = BATCH_BODY.replace(b'"i1"', b'"' + b"i" * 8_001 + b'"')
         too_large = BATCH_BODY.replace(b'"/batch/1"', path)
         for name, request_id, body, status in (
             ("longest id", "x" * 160, BATCH_BODY, 202),
             ("too long id", "x" * 161, BATCH_BODY, 400),
             ("id too long once it is quoted", "/" * 60, BATCH_BODY, 400),
             ("too large item", "r1", too_large, 413),
+            ("too long id of an item", "r1", long_item, 400),
         ):
             with self.subTest(name):
                 async with site_lib.open_site() as site:
