--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -1,5 +1,8 @@
 """Tests server connections: reading, refusing and draining."""
 
+from collections.abc import AsyncIterator
+import contextlib
+import socket
 from typing import Final
 import unittest
 
@@ -112,61 +115,85 @@
         return received
 
 
+@contextlib.asynccontextmanager
+async def open_listener(
+    echo: Echo, accepting: anyio.CancelScope | None = None
+) -> AsyncIterator[tuple[downstream.Listener, int]]:
+    """Serve a process that drains; yield the listener and its port.
+
+    Cancelling `accepting` ends the accepting of connections.
+    """
+    listener = downstream.Listener(lambda: LIMITS, echo.handle, lambda: True)
+
+    async def accept(*, task_status: anyio.abc.TaskStatus[int]) -> None:
+        with accepting or anyio.CancelScope():
+            await listener.serve("127.0.0.1:0", task_status=task_status)
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(listener.run)
+        yield listener, await tasks.start(accept)
+        tasks.cancel_scope.cancel()
+
+
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     async def test_request_accepted_just_before_a_drain_is_handled(
         self,
     ) -> None:
         echo = Echo(0.1)
-        listener = downstream.Listener(
-            lambda: LIMITS, echo.handle, lambda: True
-        )
-        async with anyio.create_task_group() as tasks:
-            await tasks.start(listener.run)
-            accepting = anyio.CancelScope()
-
-            async def accept(*, task_status: anyio.abc.TaskStatus[int]) -> None:
-                with accepting:
-                    await listener.serve("127.0.0.1:0", task_status=task_status)
-
-            port = await tasks.start(accept)
-            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
-                client = h11.Connection(h11.CLIENT)
-                request = h11.Request(
-                    method="GET", target="/", headers=[("Host", "a")]
-                )
-                data = client.send(request) or b""
-                await stream.send(
-                    data + (client.send(h11.EndOfMessage()) or b"")
-                )
-                # Accepted, but its task has not started to read.
-                while not listener.count_connections():
-                    await anyio.lowlevel.checkpoint()
-                accepting.cancel()
-                cut = await listener.drain(deadlines.after(2.0))
-                self.assertEqual(cut, 0)
-                received = await stream.receive()
-            tasks.cancel_scope.cancel()
+        accepting = anyio.CancelScope()
+        async with (
+            open_listener(echo, accepting) as (listener, port),
+            await anyio.connect_tcp("127.0.0.1", port) as stream,
+        ):
+            client = h11.Connection(h11.CLIENT)
+            request = h11.Request(
+                method="GET", target="/", headers=[("Host", "a")]
+            )
+            data = client.send(request) or b""
+            await stream.send(data + (client.send(h11.EndOfMessage()) or b""))
+            # Accepted, but its task has not started to read.
+            while not listener.count_connections():
+                await anyio.lowlevel.checkpoint()
+            accepting.cancel()
+            cut = await listener.drain(deadlines.after(2.0))
+            self.assertEqual(cut, 0)
+            received = await stream.receive()
         self.assertEqual((echo.begun, echo.ended), (1, 1))
         self.assertIn(b"200 OK", received)
         self.assertIn(b"connection: close", received.lower())
 
+    async def test_connections_that_wait_to_be_accepted_are_not_reset(
+        self,
+    ) -> None:
+        # They were reset when the process stopped listening.
+        accepting = anyio.CancelScope()
+        async with open_listener(Echo(), accepting) as (listener, port):
+            # The event loop does not run while these connect.
+            callers = [
+                socket.create_connection(("127.0.0.1", port)) for _ in range(40)
+            ]
+            for one in callers:
+                one.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await listener.accept_pending()
+            accepting.cancel()
+            await listener.drain(deadlines.after(site_lib.TEST_TIMEOUT_S))
+            for one in callers:
+                with one:
+                    self.assertIn(b"200 OK", one.recv(1_000))
+
     async def test_request_in_transit_during_a_close_does_not_run(self) -> None:
         echo = Echo()
-        listener = downstream.Listener(
-            lambda: LIMITS, echo.handle, lambda: True
-        )
-        async with anyio.create_task_group() as tasks:
-            await tasks.start(listener.run)
-            port = await tasks.start(listener.serve, "127.0.0.1:0")
-            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
-                while not listener.count_connections():
-                    await anyio.lowlevel.checkpoint()
-                await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-                for connection in listener.get_connections():
-                    await connection.close()
-                with self.assertRaises(
-                    (anyio.EndOfStream, anyio.BrokenResourceError)
-                ):
-                    await stream.receive()
-            tasks.cancel_scope.cancel()
+        async with (
+            open_listener(echo) as (listener, port),
+            await anyio.connect_tcp("127.0.0.1", port) as stream,
+        ):
+            while not listener.count_connections():
+                await anyio.lowlevel.checkpoint()
+            await stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            for connection in listener.get_connections():
+                await connection.close()
+            with self.assertRaises(
+                (anyio.EndOfStream, anyio.BrokenResourceError)
+            ):
+                await stream.receive()
         self.assertEqual(echo.begun, 0)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
-import socket
 from typing import Any
 from typing import Final
 import unittest
@@ -17,7 +16,6 @@
 from eelgrassgate.gateway import daemon
 from eelgrassgate.gateway import node
 from eelgrassgate.gateway import settings
-from eelgrassgate.http1 import downstream
 from eelgrassgate.platform import batch_calls
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
@@ -328,39 +326,3 @@
             )
             await fixture.wait(lambda: fixture.has_ended)
             self.assertLess(deadlines.now() - fixture.stopped_at, GRACE_S)
-
-
-class AcceptTest(unittest.IsolatedAsyncioTestCase):
-    async def test_connections_that_wait_to_be_accepted_are_not_reset(
-        self,
-    ) -> None:
-        # They were reset when the gateway stopped listening.
-        async def handle(
-            incoming: downstream.IncomingRequest,
-            responder: downstream.Responder,
-        ) -> None:
-            await responder.reply(200)
-
-        listener = downstream.Listener(downstream.Limits, handle, lambda: True)
-        accept_scope = anyio.CancelScope()
-
-        async def accept(*, task_status: abc.TaskStatus[int]) -> None:
-            with accept_scope:
-                await listener.serve("127.0.0.1:0", task_status=task_status)
-
-        async with anyio.create_task_group() as tasks:
-            await tasks.start(listener.run)
-            port = await tasks.start(accept)
-            # The event loop does not run while these connect.
-            callers = [
-                socket.create_connection(("127.0.0.1", port)) for _ in range(40)
-            ]
-            for one in callers:
-                one.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-            await listener.accept_pending()
-            accept_scope.cancel()
-            await listener.drain(deadlines.after(TIMEOUT_S))
-            for one in callers:
-                with one:
-                    self.assertIn(b"200 OK", one.recv(1_000))
-            tasks.cancel_scope.cancel()
