Read the memory limit of the settings, and show what tells ends apart

The limits of the settings are read now, and resident memory, descriptors, the delay of the event loop and the memory budget are shown as metrics. Nothing is charged to the budget yet.

--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -5,11 +5,13 @@
 """
 
 from collections.abc import Callable
+import functools
 from typing import Final
 
 import anyio
 import prometheus_client
 
+from eelgrassgate import memory_budget
 from eelgrassgate.http1 import downstream
 
 # Histogram buckets in seconds: latency objectives of online requests are
@@ -78,6 +80,45 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._loop_delay = prometheus_client.Histogram(
+            "eelgrassgate_loop_delay_seconds",
+            "Seconds by which a timer of the event loop was late.",
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        # Resident memory and open descriptors.
+        prometheus_client.ProcessCollector(registry=self._registry)
+
+    def observe_memory(self, budget: memory_budget.Budget) -> None:
+        """Show the limit of the memory budget and what is held and refused."""
+        prometheus_client.Gauge(
+            "eelgrassgate_memory_limit_bytes",
+            "Bytes that may be held for callers, endpoints and peers.",
+            registry=self._registry,
+        ).set(budget.limit_bytes)
+        held = prometheus_client.Gauge(
+            "eelgrassgate_memory_held_bytes",
+            "Bytes that are held, by what they are held for.",
+            ("held_for",),
+            registry=self._registry,
+        )
+        refused = prometheus_client.Gauge(
+            "eelgrassgate_memory_refusals",
+            "How often memory was refused, by what it was wanted for.",
+            ("held_for",),
+            registry=self._registry,
+        )
+        for kind in memory_budget.Kind:
+            held.labels(kind.value).set_function(
+                functools.partial(budget.held_bytes_by_kind.__getitem__, kind)
+            )
+            refused.labels(kind.value).set_function(
+                functools.partial(budget.refused_by_kind.__getitem__, kind)
+            )
+
+    def record_loop_delay(self, seconds: float) -> None:
+        """Record by how much a timer of the event loop was late."""
+        self._loop_delay.observe(max(0.0, seconds))
 
     def observe_config(
         self, read_version: Callable[[], int], read_age_s: Callable[[], float]
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -10,6 +10,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import config_sync
@@ -108,6 +109,8 @@
             adapters.store, self.member
         )
         self.metrics = metrics_lib.create_metrics()
+        self.budget = memory_budget.create_budget(node_settings.memory_bytes)
+        self.metrics.observe_memory(self.budget)
         self.loads = loads.create_loads()
         self.failures = failures.create_failures(self._is_in_same_zone)
         self.quarantine = quarantine.create_quarantine()
@@ -182,6 +185,7 @@
                 due = deadlines.after(SWEEP_INTERVAL_S)
                 await anyio.sleep(SWEEP_INTERVAL_S)
                 late_s = deadlines.now() - due
+                self.metrics.record_loop_delay(late_s)
                 if late_s > MIN_LATE_S:
                     # Explains slow responses that have no other cause.
                     logs.log_message(
--- a/eelgrassgate/gateway/settings.py
+++ b/eelgrassgate/gateway/settings.py
@@ -1,9 +1,15 @@
 """Settings of gateway and batch processes."""
 
 from collections.abc import Mapping
+from typing import Final
 
 import msgspec
 
+# Limits of the smallest instances that processes run on, assumed if the
+# settings name none.
+DEFAULT_MEMORY_BYTES: Final = 230_000_000
+DEFAULT_FILE_DESCRIPTORS: Final = 4_000
+
 
 class Node(msgspec.Struct, frozen=True):
     """Settings of one process.
@@ -22,6 +28,9 @@
             disable.
         ready_address: `host:port` on which to serve readiness probes; empty
             to disable.
+        memory_bytes: Resident memory beyond which the platform ends the
+            process.
+        file_descriptors: Number of descriptors that the process may open.
     """
 
     instance: str
@@ -35,3 +44,5 @@
     grace_s: float
     callers_address: str = ""
     ready_address: str = ""
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    file_descriptors: int = DEFAULT_FILE_DESCRIPTORS
--- a/eelgrassgate/platform/boot.py
+++ b/eelgrassgate/platform/boot.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import tomllib
+from typing import Annotated
 from typing import Any
 from typing import Final
 
@@ -10,6 +11,7 @@
 from returns import result
 
 from eelgrassgate import findings
+from eelgrassgate import memory_budget
 from eelgrassgate.gateway import settings
 
 BOOT_FILE_VARIABLE: Final = "EELGRASSGATE_BOOT"
@@ -28,6 +30,17 @@
     grace_s: float
 
 
+class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
+    """Limits of the process; `memory_mb` is in megabytes."""
+
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = (
+        settings.DEFAULT_MEMORY_BYTES / memory_budget.BYTES_PER_MB
+    )
+    file_descriptors: Annotated[int, msgspec.Meta(gt=0)] = (
+        settings.DEFAULT_FILE_DESCRIPTORS
+    )
+
+
 class _Platform(msgspec.Struct, frozen=True):
     """The key-value service."""
 
@@ -50,6 +63,7 @@
     bounds: _Bounds
     zones: dict[str, str]
     listen: _Listen = _Listen()
+    limits: _Limits = _Limits()
 
 
 def load(
@@ -114,4 +128,6 @@
         boot.bounds.grace_s,
         boot.listen.front,
         boot.listen.ready,
+        int(boot.limits.memory_mb * memory_budget.BYTES_PER_MB),
+        boot.limits.file_descriptors,
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import discovery as discovery_lib
+from eelgrassgate.gateway import settings
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
 from eelgrassgate.platform import batch_calls as platform_batch_calls
@@ -170,6 +171,25 @@
         self.assertEqual(node.callers_address, "10.1.0.5:8405")
         self.assertEqual(node.grace_s, 8.0)
 
+    def test_limits(self) -> None:
+        limits = "[limits]\nmemory-mb = 300\nfile-descriptors = 4200\n"
+        for text, memory_bytes, descriptors in (
+            (f"{SETTINGS}\n{limits}", 300_000_000, 4_200),
+            (
+                SETTINGS,
+                settings.DEFAULT_MEMORY_BYTES,
+                settings.DEFAULT_FILE_DESCRIPTORS,
+            ),
+        ):
+            with self.subTest(descriptors):
+                node = self.load(text).unwrap()
+                self.assertEqual(node.memory_bytes, memory_bytes)
+                self.assertEqual(node.file_descriptors, descriptors)
+        for limit in ("memory-mb = 0", "file-descriptors = -1"):
+            with self.subTest(limit):
+                loaded = self.load(f"{SETTINGS}\n[limits]\n{limit}\n")
+                self.assertIsInstance(loaded, result.Failure)
+
     def test_all_findings_are_reported(self) -> None:
         broken = SETTINGS.replace('zone = "z1"\n', "").replace(
             "grace-s = 8", 'grace-s = "8"'
