Add a benchmark of loads that make processes hold memory

Plays large, trickled and chunked bodies, jobs, unread answers and half heads against a gateway and a batch process, each load with new processes, and samples their resident memory and the latency of small requests beside them.

--- /dev/null
+++ b/bench/memory_load.py
@@ -0,0 +1,510 @@
+"""Loads that make a gateway and a batch process hold much memory.
+
+Run by `python -m bench.memory_load [NAME ...]`. Real processes serve each load
+anew, with a stand-in of the key-value service and an endpoint. Prints a line of
+JSON for each load: the peak of resident memory, the callers' answers, and the
+latency of small requests beside the load.
+"""
+
+import asyncio
+import base64
+from collections import Counter
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import Final
+
+import anyio
+import anyio.to_thread
+import httpx
+import msgspec
+import psutil
+
+from bench import ports
+from bench import processes
+
+MB: Final = 1_000_000
+MEMORY_MB: Final = 300
+GATEWAY_IP: Final = "127.88.0.1"
+BATCH_IP: Final = "127.88.0.2"
+CALLERS_PORT: Final = 7_801
+READY_PORT: Final = 7_802
+METRICS_PORT: Final = 9_090
+GRACE_S: Final = 4.0
+HOST: Final = "desk.example"
+KEYS: Final = ("key-1", "key-2")
+SLOTS: Final = 400
+# Time limit of the requests of a load.
+REQUEST_TIMEOUT_S: Final = 10.0
+# How long the endpoint works on a large request.
+WORK_S: Final = 2.0
+ANSWER_BYTES: Final = 6 * MB
+SAMPLE_INTERVAL_S: Final = 0.05
+# Sampled further after a load has ended.
+SETTLE_S: Final = 3.0
+SMALL_INTERVAL_S: Final = 0.05
+SMALL_BODY: Final = bytes(2_000)
+PIECE_BYTES: Final = 65_536
+WARM_UP_S: Final = 2.0
+NO_ANSWER: Final = "none"
+
+
+class Load(msgspec.Struct, frozen=True):
+    """A load: `count` connections at once, each with one request.
+
+    Attributes:
+        name: Name of the load.
+        count: Number of connections.
+        send: Sends one request; returns the status or `NO_ANSWER`.
+    """
+
+    name: str
+    count: int
+    send: Callable[[int], Awaitable[str]]
+
+
+class Row(msgspec.Struct, frozen=True):
+    """What was measured under one load; times in milliseconds."""
+
+    load: str
+    gateway_peak_mb: int
+    batch_peak_mb: int
+    gateway_after_mb: int
+    answers: dict[str, int]
+    small_answers: dict[str, int]
+    small_p50_ms: float
+    small_p99_ms: float
+    took_s: float
+    ended: tuple[str, ...]
+
+
+def _write_head(
+    number: int, path: str, length: int, key: str, prefix: str
+) -> bytes:
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"Request-Id: {prefix}{number}-{time.monotonic_ns()}\r\n"
+        f"Authorization: Bearer {key}\r\n"
+        f"Time-Remaining: {int(REQUEST_TIMEOUT_S * 1000)}\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    ).encode()
+
+
+async def _connect() -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection(GATEWAY_IP, CALLERS_PORT)
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> str:
+    """Return the status of a whole answer."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    length = 0
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name.lower() == "content-length":
+            length = int(value)
+    await reader.readexactly(length)
+    return lines[0].split(" ")[1]
+
+
+async def _exchange(
+    send: Callable[
+        [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+    ],
+    read: Callable[[asyncio.StreamReader], Awaitable[str]] = _read_answer,
+) -> str:
+    """Send one request on a new connection and return its status."""
+    writer: asyncio.StreamWriter | None = None
+    try:
+        async with asyncio.timeout(REQUEST_TIMEOUT_S + 2.0):
+            reader, writer = await _connect()
+            with contextlib.suppress(ConnectionError):
+                # The gateway may answer before it has read everything.
+                await send(reader, writer)
+            return await read(reader)
+    except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        return NO_ANSWER
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def _send_body(
+    number: int, path: str, size: int, is_chunked: bool = False
+) -> str:
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        key = KEYS[number % len(KEYS)]
+        head = _write_head(number, path, size, key, "q")
+        if is_chunked:
+            head = head.replace(
+                b"Content-Length: %d" % size, b"Transfer-Encoding: chunked"
+            )
+        writer.write(head)
+        for start in range(0, size, PIECE_BYTES):
+            piece = bytes(min(PIECE_BYTES, size - start))
+            if is_chunked:
+                piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+            writer.write(piece)
+            await writer.drain()
+        if is_chunked:
+            writer.write(b"0\r\n\r\n")
+
+    return await _exchange(send)
+
+
+async def _send_slowly(number: int, size: int, bytes_per_s: int) -> str:
+    """Send a body that doesn't end within its time."""
+
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        key = KEYS[number % len(KEYS)]
+        writer.write(_write_head(number, "/stream/a", size + 1, key, "t"))
+        for start in range(0, size, PIECE_BYTES):
+            writer.write(bytes(min(PIECE_BYTES, size - start)))
+            await writer.drain()
+            await asyncio.sleep(PIECE_BYTES / bytes_per_s)
+
+    return await _exchange(send)
+
+
+async def _send_job(number: int, items: int, item_bytes: int) -> str:
+    body = msgspec.json.encode(
+        {
+            "items": [
+                {
+                    "id": f"{number}-{item}-{time.monotonic_ns()}",
+                    "path": "/batch/a",
+                    "headers": {},
+                    "body": base64.b64encode(bytes(item_bytes)).decode(),
+                    "tokens": 10,
+                }
+                for item in range(items)
+            ]
+        }
+    )
+
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        key = KEYS[number % len(KEYS)]
+        writer.write(_write_head(number, "/batch/x", len(body), key, "j"))
+        writer.write(body)
+        await writer.drain()
+
+    return await _exchange(send)
+
+
+async def _leave_unread(number: int) -> str:
+    """Read the head of a large answer, and the rest only much later."""
+
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        key = KEYS[number % len(KEYS)]
+        writer.write(_write_head(number, "/large/a", 0, key, "u"))
+
+    async def read(reader: asyncio.StreamReader) -> str:
+        line = await reader.readline()
+        await asyncio.sleep(REQUEST_TIMEOUT_S / 2.0)
+        return line.decode("latin-1").split(" ")[1] if line else NO_ANSWER
+
+    return await _exchange(send, read)
+
+
+async def _send_half_head(number: int) -> str:
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(_write_head(number, "/stream/a", 10, KEYS[0], "h")[:100])
+
+    return await _exchange(send)
+
+
+def _list_loads() -> list[Load]:
+    loads: list[Load] = []
+    for count in (10, 50, 150, 300):
+        for size in (64_000, MB, 4 * MB):
+
+            async def send_body(number: int, size: int = size) -> str:
+                return await _send_body(number, "/stream/a", size)
+
+            name = f"requests-{count}-{size // 1000}k"
+            loads.append(Load(name, count, send_body))
+
+    async def send_chunked(number: int) -> str:
+        return await _send_body(number, "/stream/a", 4 * MB, True)
+
+    async def send_slowly(number: int) -> str:
+        return await _send_slowly(number, 4_190_000, 1_300_000)
+
+    loads.append(Load("chunked-150-4000k", 150, send_chunked))
+    loads.append(Load("trickled-150-4190k", 150, send_slowly))
+    for count, items, item_bytes in (
+        (40, 1, 2_800_000),
+        (40, 20, 140_000),
+        (40, 140, 20_000),
+        (100, 140, 20_000),
+        (40, 200, 14_000),
+    ):
+
+        async def send_job(
+            number: int, items: int = items, item_bytes: int = item_bytes
+        ) -> str:
+            return await _send_job(number, items, item_bytes)
+
+        loads.append(Load(f"jobs-{count}-{items}-items", count, send_job))
+    loads.append(Load("unread-200-6000k", 200, _leave_unread))
+    loads.append(Load("half-heads-3000", 3000, _send_half_head))
+    return loads
+
+
+async def _serve_endpoint(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer requests by their path; keeps nothing of their bodies."""
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            fields = dict(
+                line.lower().split(": ", 1)
+                for line in head.split("\r\n")[1:]
+                if ": " in line
+            )
+            left = int(fields.get("content-length", "0"))
+            is_large_body = left > len(SMALL_BODY)
+            while left:
+                left -= len(await reader.read(min(left, PIECE_BYTES)))
+            path = head.split(" ")[1]
+            start = (
+                f"HTTP/1.1 200 OK\r\nRequest-Id: {fields['request-id']}\r\n"
+                "Response-Signature: 1.1\r\n"
+            ).encode()
+            if path.startswith("/large/"):
+                writer.write(
+                    start + b"Content-Length: %d\r\n\r\n" % ANSWER_BYTES
+                )
+                for _ in range(ANSWER_BYTES // PIECE_BYTES):
+                    writer.write(bytes(PIECE_BYTES))
+                    await writer.drain()
+                writer.write(bytes(ANSWER_BYTES % PIECE_BYTES))
+                continue
+            if is_large_body:
+                await asyncio.sleep(WORK_S)
+            event = b"id: 1\ndata: x\n\n"
+            length = b"Content-Length: %d\r\n" % len(event)
+            kind = b"Content-Type: text/event-stream\r\n\r\n"
+            writer.write(start + length + kind + event)
+    writer.close()
+
+
+def _write_settings(
+    folder: pathlib.Path, name: str, ip: str, store_address: str
+) -> pathlib.Path:
+    path = folder / f"{name}.toml"
+    path.write_text(
+        f"""
+node-name = "{name}"
+zone = "z1"
+region = "r1"
+ip = "{ip}"
+internal-ports = [7811, 7826]
+[zones]
+z1 = "r1"
+[platform]
+address = "{store_address}"
+[bounds]
+grace-s = {GRACE_S}
+[limits]
+memory-mb = {MEMORY_MB}
+file-descriptors = 4200
+[listen]
+front = "{ip}:{CALLERS_PORT}"
+ready = "{ip}:{READY_PORT}"
+""",
+        "utf-8",
+    )
+    return path
+
+
+def _make_route(prefix: str, kind: str) -> dict[str, Any]:
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout-ms": int(REQUEST_TIMEOUT_S * 1000),
+        "target-latency-ms": 5_000,
+        "priority": 0,
+        "service": "engine",
+        "max-attempts": 2,
+        "completion-target-ms": 18_000,
+        "retention-s": 60,
+    }
+
+
+async def _write_documents(store_url: str, endpoint_address: str) -> None:
+    """Write the configuration and the endpoint's entry to the store."""
+    documents = {
+        "op/config": {
+            "version": 1,
+            "routes": [
+                _make_route("/stream/", "streaming"),
+                _make_route("/large/", "safe"),
+                _make_route("/batch/", "batch"),
+            ],
+            "services": [
+                {"name": "engine", "max-connections": SLOTS, "engine": {}}
+            ],
+            "limits": {"idle-timeout-ms": 15_000},
+            "tenants": [
+                {"name": f"desk-{number}", "api-keys": [key]}
+                for number, key in enumerate(KEYS)
+            ],
+        },
+        "servers/i-0": {
+            "service": "engine",
+            "address": endpoint_address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": SLOTS,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            "born": 1_800_000_000_000,
+        },
+    }
+    puts = [
+        {
+            "key": key,
+            "value": base64.b64encode(msgspec.json.encode(value)).decode(),
+            "lease": 0,
+        }
+        for key, value in documents.items()
+    ]
+    async with httpx.AsyncClient() as client:
+        for put in puts:
+            response = await client.post(
+                f"{store_url}/kv-txn",
+                json={"precondition": [], "puts": [put], "deletes": []},
+            )
+            response.raise_for_status()
+
+
+async def _sample_memory(
+    watched: Sequence[processes.Process], peaks: dict[str, int]
+) -> None:
+    while True:
+        for process in watched:
+            peaks[process.name] = max(
+                peaks.get(process.name, 0), _read_resident(process)
+            )
+        await anyio.sleep(SAMPLE_INTERVAL_S)
+
+
+def _read_resident(process: processes.Process) -> int:
+    create_process: Any = psutil.Process
+    try:
+        return int(create_process(process.pid).memory_info().rss)
+    except psutil.Error:
+        return 0
+
+
+async def _send_small_requests(
+    answers: Counter[str], latencies_ms: list[float]
+) -> None:
+    async def send_one(number: int) -> None:
+        started_at = time.monotonic()
+        answers[await _send_body(number, "/stream/s", len(SMALL_BODY))] += 1
+        latencies_ms.append((time.monotonic() - started_at) * 1000.0)
+
+    async with anyio.create_task_group() as tasks:
+        number = 0
+        while True:
+            tasks.start_soon(send_one, number)
+            number += 1
+            await anyio.sleep(SMALL_INTERVAL_S)
+
+
+async def run_load(load: Load, folder: pathlib.Path) -> Row:
+    """Serve one load by new processes and measure it."""
+    server = await asyncio.start_server(_serve_endpoint, ports.HOST, 0)
+    endpoint_port = server.sockets[0].getsockname()[1]
+    store_port = ports.pick_port()
+    async with server, processes.run_processes(folder) as running:
+        running.start(
+            "store", "eelgrassgate.standins.kv", ["--port", str(store_port)]
+        )
+        await processes.wait_until_open(store_port)
+        store_address = f"{ports.HOST}:{store_port}"
+        await _write_documents(
+            f"http://{store_address}", f"{ports.HOST}:{endpoint_port}"
+        )
+        watched = []
+        for role, ip in (("gateway", GATEWAY_IP), ("batch", BATCH_IP)):
+            path = _write_settings(folder, role, ip, store_address)
+            environment = {"EELGRASSGATE_BOOT": str(path), "PATH": ""}
+            watched.append(
+                running.start(
+                    role, "eelgrassgate.platform", [role], environment
+                )
+            )
+        await processes.wait_until_ready(f"http://{GATEWAY_IP}:{READY_PORT}/")
+        await anyio.sleep(WARM_UP_S)
+        return await _measure(load, watched)
+
+
+async def _measure(load: Load, watched: Sequence[processes.Process]) -> Row:
+    peaks: dict[str, int] = {}
+    answers: Counter[str] = Counter()
+    small_answers: Counter[str] = Counter()
+    latencies_ms: list[float] = []
+
+    async def send_one(number: int) -> None:
+        answers[await load.send(number)] += 1
+
+    started_at = time.monotonic()
+    async with anyio.create_task_group() as samplers:
+        samplers.start_soon(_sample_memory, watched, peaks)
+        samplers.start_soon(_send_small_requests, small_answers, latencies_ms)
+        async with anyio.create_task_group() as tasks:
+            for number in range(load.count):
+                tasks.start_soon(send_one, number)
+        took_s = time.monotonic() - started_at
+        await anyio.sleep(SETTLE_S)
+        samplers.cancel_scope.cancel()
+    latencies_ms.sort()
+    return Row(
+        load.name,
+        peaks["gateway"] // MB,
+        peaks["batch"] // MB,
+        _read_resident(watched[0]) // MB,
+        dict(answers),
+        dict(small_answers),
+        round(statistics.median(latencies_ms), 1),
+        round(latencies_ms[int(len(latencies_ms) * 0.99)], 1),
+        round(took_s, 1),
+        tuple(one.name for one in watched if not one.is_running()),
+    )
+
+
+async def _run_all(names: Sequence[str]) -> None:
+    for load in _list_loads():
+        if names and load.name not in names:
+            continue
+        with tempfile.TemporaryDirectory() as folder:
+            row = await run_load(load, pathlib.Path(folder))
+        print(msgspec.json.encode(row).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    anyio.run(_run_all, sys.argv[1:])
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import json
@@ -69,9 +70,20 @@
         self.by_name: dict[str, Process] = {}
 
     def start(
-        self, name: str, module: str, arguments: Sequence[str]
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str],
+        environment: Mapping[str, str] | None = None,
     ) -> Process:
-        """Start `python -m module arguments`."""
+        """Start `python -m module arguments`.
+
+        Args:
+            name: Name of the process and of its output file.
+            module: The module to run.
+            arguments: Its arguments.
+            environment: Its environment; by default that of this process.
+        """
         output = (self._folder / f"{name}.log").open("ab")
         with output:
             handle = subprocess.Popen(
@@ -79,6 +91,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                env=environment,
             )
         process = Process(name, handle)
         self.by_name[name] = process
