Start with closed standard files, and give no connection their descriptors

A process that is started with standard output closed ended with code 1 and a traceback ("NoneType has no attribute flush"). With standard input or error closed it ran, but the next socket got that descriptor, so that what is printed to standard error went into a connection.

Closed standard files are now opened on the null device before anything else, by the processes of the platform and by those of the own interface.

--- a/eelgrassgate/logs.py
+++ b/eelgrassgate/logs.py
@@ -10,6 +10,7 @@
 import eliot
 import msgspec
 
+from eelgrassgate import standard_files
 from eelgrassgate import token_bucket
 
 # Writes to a pipe are atomic up to 4,096 bytes (PIPE_BUF on Linux).
@@ -96,6 +97,7 @@
 
 def start_logging(role: str, instance: str) -> None:
     """Log this process's messages to standard output."""
+    standard_files.open_closed_files()
     sys.stdout.flush()
     writer = Writer(STDOUT_FD, {"role": role, "instance": instance})
     _ADD_DESTINATION(writer)
--- a/eelgrassgate/main.py
+++ b/eelgrassgate/main.py
@@ -5,6 +5,7 @@
 import sys
 from typing import Final
 
+from eelgrassgate import standard_files
 from eelgrassgate.operators import command
 from eelgrassgate.operators import config_commands
 from eelgrassgate.operators import daemon_commands
@@ -79,6 +80,7 @@
 
 def run() -> None:
     """Run the command line and exit."""
+    standard_files.open_closed_files()
     try:
         code = main(sys.argv[1:])
         sys.stdout.flush()
