--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -9,6 +9,7 @@
 from anyio import abc
 import h11
 import msgspec
+import xxhash
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
@@ -31,7 +32,7 @@
 # connection.
 MAX_DISCARDED_BYTES: Final = 65_536
 DISCARD_TIMEOUT_S: Final = 0.2
-# Bounds the memory of `Connection.request_ids`.
+# Bounds the memory of `Connection.request_hashes`.
 MAX_REQUESTS: Final = 1_000
 # Bound on a response that is read as a whole; several of the largest values of
 # the key-value service.
@@ -110,7 +111,8 @@
             waiting for data ends then, so the user of the connection moves it
             whenever the exchange has made progress.
         head: Head of the current response.
-        request_ids: Ids of the requests that were sent on it. A late copy of
+        request_hashes: Hashes of the ids of the requests that were sent on it,
+            which callers choose the length of. A late copy of
             a response to an earlier request can only be told from the response
             to the current one if their ids differ.
     """
@@ -126,7 +128,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._received_bytes = 0
         self.head = Head(0, ())
-        self.request_ids: set[str] = set()
+        self.request_hashes: set[int] = set()
 
     async def start(
         self, request: Request, is_expected: ResponseFilter
@@ -377,9 +379,12 @@
         Raises:
             ExchangeError: Connecting failed; nothing was sent.
         """
-        connection = await self._acquire(address, request_id)
+        request_hash = None
         if request_id is not None:
-            connection.request_ids.add(request_id)
+            request_hash = xxhash.xxh3_64_intdigest(request_id.encode())
+        connection = await self._acquire(address, request_hash)
+        if request_hash is not None:
+            connection.request_hashes.add(request_hash)
         try:
             yield connection
         finally:
@@ -387,7 +392,8 @@
             connection.stall_deadline = deadlines.NEVER
             # A late response to a request without an id fits any request.
             is_spent = (
-                request_id == "" or len(connection.request_ids) >= MAX_REQUESTS
+                request_id == ""
+                or len(connection.request_hashes) >= MAX_REQUESTS
             )
             can_reuse = connection.is_reusable and not is_spent
             if can_reuse and connection.idle_until:
@@ -396,10 +402,12 @@
                 await connection.close()
 
     async def _acquire(
-        self, address: str, request_id: str | None
+        self, address: str, request_hash: int | None
     ) -> Connection:
         idle = self._idle_by_address.get(address, [])
-        candidates = [one for one in idle if request_id not in one.request_ids]
+        candidates = [
+            one for one in idle if request_hash not in one.request_hashes
+        ]
         for connection in reversed(candidates):
             if connection not in idle:
                 # Taken or closed while another one was being closed.
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,14 +1,19 @@
 """Which connections of a pool are used again."""
 
+import tracemalloc
 from typing import Final
 import unittest
 
 import anyio
+from anyio import abc
 
 from eelgrassgate.http1 import upstream
 from eelgrassgate.standins import endpoint
 
 TIMEOUT_S: Final = 5.0
+RESPONSE: Final = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+LONG_IDS: Final = 200
+LONG_ID_BYTES: Final = 10_000
 # By name: ids of requests that follow one another, and the number of
 # connections that they need.
 CASES: Final = {
@@ -49,6 +54,32 @@
                     await pool.close()
             tasks.cancel_scope.cancel()
 
+    async def test_a_connection_does_not_keep_long_ids_of_requests(
+        self,
+    ) -> None:
+        async def serve(stream: abc.SocketStream) -> None:
+            async with stream:
+                async for _ in stream:
+                    await stream.send(RESPONSE)
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(abc.SocketAttribute.local_port)
+        pool = upstream.create_pool(1.0)
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            await send(pool, f"127.0.0.1:{port}", "first")
+            tracemalloc.start()
+            before, _ = tracemalloc.get_traced_memory()
+            for number in range(LONG_IDS):
+                # Each is an object of its own, as in a request.
+                name = f"{number}".rjust(LONG_ID_BYTES, "x")
+                await send(pool, f"127.0.0.1:{port}", name)
+            after, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            tasks.cancel_scope.cancel()
+        self.assertEqual(pool.opened, 1)
+        self.assertLess(after - before, LONG_IDS * LONG_ID_BYTES / 4)
+
     async def test_a_connection_remembers_a_bounded_number_of_requests(
         self,
     ) -> None:
