--- a/eelgrassgate/platform/__main__.py
+++ b/eelgrassgate/platform/__main__.py
@@ -1,96 +1,15 @@
 """Runs one process on the users' platform: `gateway` or `batch`."""
 
 import importlib
-import signal
 import sys
-from typing import Any
-
-import anyio
-from returns import result
-
-from eelgrassgate import logs
-from eelgrassgate.gateway import node
-from eelgrassgate.gateway import settings
-from eelgrassgate.platform import batch_calls
-from eelgrassgate.platform import boot
-from eelgrassgate.platform import dialect
-from eelgrassgate.platform import documents
-from eelgrassgate.platform import kv
-
-ROLES = ("gateway", "batch")
-USAGE_EXIT_CODE = 64
-INVALID_SETTINGS_EXIT_CODE = 2
-
-
-def create_adapters(node_settings: settings.Node) -> node.PlatformAdapters:
-    """Create the adapters of the platform."""
-    return node.PlatformAdapters(
-        kv.create_kv_store(node_settings.store_address),
-        documents.PlatformDocuments(),
-        dialect.PlatformDialect(),
-        batch_calls.PlatformBatchDialect(),
-    )
-
-
-def _create_daemon(role: str, node_settings: settings.Node) -> Any:
-    """Create the daemon; imports are lazy, so a role loads only its modules."""
-    adapters = create_adapters(node_settings)
-    if role == "gateway":
-        module = importlib.import_module("eelgrassgate.gateway.daemon")
-        return module.create_gateway(node_settings, adapters)
-    module = importlib.import_module("eelgrassgate.batches.daemon")
-    return module.create_batch_daemon(node_settings, adapters)
-
-
-async def _run(role: str, node_settings: settings.Node) -> None:
-    stop = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop)
-        await _create_daemon(role, node_settings).run(stop)
-        tasks.cancel_scope.cancel()
-
-
-async def _watch_signals(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                _check_settings()
-            else:
-                stop.set()
-
-
-def _check_settings() -> None:
-    """Validate the settings file again; changes apply at the next start."""
-    loaded = boot.load()
-    findings = ()
-    if isinstance(loaded, result.Failure):
-        findings = tuple(loaded.failure().render())
-    logs.log_message("settings:checked", findings=findings)
-
-
-def main(arguments: list[str]) -> int:
-    """Run one process until SIGTERM; return the exit code."""
-    if len(arguments) != 1 or arguments[0] not in ROLES:
-        sys.stderr.write(f"usage: python -m eelgrassgate.platform {ROLES}\n")
-        return USAGE_EXIT_CODE
-    loaded = boot.load()
-    if isinstance(loaded, result.Failure):
-        for line in loaded.failure().render():
-            sys.stderr.write(f"{line}\n")
-        return INVALID_SETTINGS_EXIT_CODE
-    node_settings = loaded.unwrap()
-    logs.start_logging(arguments[0], node_settings.instance)
-    logs.log_message(
-        "started", zone=node_settings.zone, region=node_settings.region
-    )
-    anyio.run(
-        _run, arguments[0], node_settings, backend_options={"use_uvloop": True}
-    )
-    logs.log_message("stopped")
-    return 0
 
+from eelgrassgate import signals
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    # A signal must not end the process, so its handlers precede the imports of
+    # the program, which take most of its start.
+    received = signals.receive()
+    program = importlib.import_module("eelgrassgate.platform.process")
+    exit_code = program.main(sys.argv[1:], received)
+    signals.ignore()
+    sys.exit(exit_code)
--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,143 @@
+"""Starts and ends of real processes, amid signals and taken ports."""
+
+from collections.abc import Callable
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import Final
+import unittest
+
+import anyio
+
+from tests.soak import daemons
+
+SEED: Final = 39
+ROLES: Final = ("gateway", "batch")
+# Nothing listens there; processes start without the store.
+STORE_ADDRESS: Final = "127.91.0.254:1"
+TIMEOUT_S: Final = 20.0
+GRACE_S: Final = 0.6
+POLL_INTERVAL_S: Final = 0.005
+# Longer than a start takes on an idle machine, so that signals come in each
+# phase of it.
+MAX_DELAY_S: Final = 0.8
+# Prints the modules loaded when the program sets its first handler.
+PRINT_MODULES: Final = """
+import os, runpy, signal, sys
+def print_modules(*arguments):
+    print(*sys.modules)
+    sys.stdout.flush()
+    os._exit(0)
+signal.signal = print_modules
+sys.argv[:] = ["", "gateway"]
+runpy.run_module("eelgrassgate.platform", run_name="__main__", alter_sys=True)
+"""
+SLOW_MODULES: Final = frozenset({"anyio", "asyncio", "msgspec", "tomllib"})
+
+
+class StartsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.daemons: list[daemons.Daemon] = []
+
+    async def asyncTearDown(self) -> None:
+        for one in self.daemons:
+            if one.is_running():
+                await one.kill()
+
+    def create_daemon(
+        self, role: str, grace_s: float = GRACE_S
+    ) -> daemons.Daemon:
+        number = len(self.daemons) + 1
+        daemon = daemons.Daemon(
+            role,
+            f"{role}{number}",
+            f"127.91.1.{number}",
+            "z1",
+            STORE_ADDRESS,
+            self.folder,
+            grace_s,
+        )
+        self.daemons.append(daemon)
+        return daemon
+
+    async def wait(self, condition: Callable[[], bool]) -> None:
+        with anyio.fail_after(TIMEOUT_S):
+            while not condition():
+                await anyio.sleep(POLL_INTERVAL_S)
+
+    async def wait_for_line(self, daemon: daemons.Daemon, kind: str) -> None:
+        def has_line() -> bool:
+            if not daemon.is_running():
+                self.fail(f"{daemon.get_exit_code()} {daemon.read_log()}")
+            return f'"message_type":"{kind}"' in daemon.read_log()
+
+        await self.wait(has_line)
+
+    async def check_exit(
+        self, daemon: daemons.Daemon, code: int, last: str
+    ) -> None:
+        """Check the exit code and the kind of the last line."""
+        await self.wait(lambda: not daemon.is_running())
+        log = daemon.read_log()
+        self.assertEqual(daemon.get_exit_code(), code, log)
+        self.assertNotIn("Traceback", log)
+        lines = log.splitlines()
+        self.assertIn(last, lines[-1] if lines else "", log)
+
+    def test_signal_handlers_are_set_before_slow_imports(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-c", PRINT_MODULES],
+            cwd=daemons.ROOT,
+            capture_output=True,
+            check=False,
+            text=True,
+        )
+        modules = done.stdout.split()
+        self.assertIn("eelgrassgate.signals", modules, done.stderr)
+        self.assertEqual(SLOW_MODULES.intersection(modules), set())
+
+    async def test_sighup_in_any_phase_never_ends_a_process(self) -> None:
+        async def run(role: str, seed: int) -> None:
+            rng = random.Random(seed)
+            daemon = self.create_daemon(role)
+            daemon.start()
+            await self.wait(daemon.handles_signals)
+            # From one signal to a series that covers the whole start.
+            for _ in range(rng.choice((1, 5, 80))):
+                daemon.send_signal(signal.SIGHUP)
+                await anyio.sleep(rng.uniform(0.0, MAX_DELAY_S / 40.0))
+            await self.wait_for_line(daemon, "settings:checked")
+            daemon.send_signal(signal.SIGUSR1)
+            await self.wait_for_line(daemon, "signal:ignored")
+            daemon.send_signal(signal.SIGTERM)
+            while daemon.is_running():
+                daemon.send_signal(signal.SIGHUP)
+                await anyio.sleep(POLL_INTERVAL_S)
+            await self.check_exit(daemon, 0, '"stopped"')
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(6):
+                tasks.start_soon(run, ROLES[number % 2], SEED + number)
+
+    async def test_sigterm_in_any_phase_ends_a_process_cleanly(self) -> None:
+        async def run(role: str, seed: int) -> None:
+            rng = random.Random(seed)
+            daemon = self.create_daemon(role)
+            daemon.start()
+            await self.wait(daemon.handles_signals)
+            await anyio.sleep(rng.choice((0.0, rng.uniform(0.0, MAX_DELAY_S))))
+            number = rng.choice((signal.SIGTERM, signal.SIGINT))
+            while daemon.is_running():
+                daemon.send_signal(number)
+                await anyio.sleep(rng.uniform(0.0, 2.0 * POLL_INTERVAL_S))
+            await self.check_exit(daemon, 0, '"stopped"')
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(8):
+                tasks.start_soon(run, ROLES[number % 2], SEED + number)
