Try taken addresses again instead of ending with a traceback

What was seen: a process whose port for metrics was taken, or one of whose own ports a predecessor still held, ended with code 1 and a traceback.

Cause: each listener bound its address once, and a failure cancelled the task group of the whole process. The class: a resource that the main job doesn't need, or that is free a moment later, ends a process.

`eelgrassgate.binding` tries again with growing delays and logs when an address is unavailable and when it is regained. Metrics are tried for as long as the process runs. Addresses that the process needs (callers, readiness, reports, relay) are tried for the grace period and 2 s, as a predecessor may hold them until it is killed; then the process ends with code 69 and one line. A gateway is ready only once it listens for callers, and SIGTERM is handled while an address is awaited. An unexpected exception ends a process with code 70 and one line `ended` that holds its trace.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from eelgrassgate import binding
 from eelgrassgate import logs
 from eelgrassgate.batches import intake
 from eelgrassgate.batches import results
@@ -75,7 +76,9 @@
     def is_ready(self) -> bool:
         """Return whether the gateway accepts new requests."""
         return (
-            self._node.discovery.is_loaded() and not self._shutdown.is_draining
+            self._node.discovery.is_loaded()
+            and self._listener.is_listening
+            and not self._shutdown.is_draining
         )
 
     def _read_limits(self) -> downstream.Limits:
@@ -95,27 +98,42 @@
         await responder.reply(OK if self.is_ready() else UNAVAILABLE)
 
     async def run(self, stop: anyio.Event) -> None:
-        """Serve until `stop`, then drain."""
+        """Serve until `stop`, then drain.
+
+        Raises:
+            binding.AddressUnavailableError: An address that the process needs
+                is taken.
+        """
         node_settings = self._node.settings
+        give_up_at = binding.compute_give_up_at(node_settings.grace_s)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._node.run)
             await tasks.start(self._listener.run)
             await tasks.start(self._readiness_listener.run)
-            await tasks.start(
-                self._readiness_listener.serve, node_settings.ready_address
-            )
+            if node_settings.ready_address:
+                tasks.start_soon(
+                    self._readiness_listener.serve,
+                    node_settings.ready_address,
+                    give_up_at,
+                )
             tasks.start_soon(self._update_share)
             accept_scope = anyio.CancelScope()
-            tasks.start_soon(self._accept, accept_scope, node_settings)
+            if node_settings.callers_address:
+                tasks.start_soon(
+                    self._accept,
+                    accept_scope,
+                    node_settings.callers_address,
+                    give_up_at,
+                )
             await stop.wait()
             await self._drain(accept_scope, node_settings.grace_s)
             tasks.cancel_scope.cancel()
 
     async def _accept(
-        self, scope: anyio.CancelScope, node_settings: settings.Node
+        self, scope: anyio.CancelScope, address: str, give_up_at: float
     ) -> None:
         with scope:
-            await self._listener.serve(node_settings.callers_address)
+            await self._listener.serve(address, give_up_at)
 
     async def _drain(
         self, accept_scope: anyio.CancelScope, grace_s: float
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -11,6 +11,7 @@
 import anyio
 import prometheus_client
 
+from eelgrassgate import deadlines
 from eelgrassgate import memory_budget
 from eelgrassgate.http1 import downstream
 
@@ -226,7 +227,9 @@
         )
         async with anyio.create_task_group() as tasks:
             await tasks.start(listener.run)
-            tasks.start_soon(listener.serve, address)
+            # No request depends on the metrics, so a taken address is tried
+            # again for as long as the process runs.
+            tasks.start_soon(listener.serve, address, deadlines.NEVER)
 
     async def _handle_scrape(
         self,
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
@@ -172,15 +173,23 @@
         return member is not None and member.zone == self.member.zone
 
     async def run(self) -> None:
-        """Run the components until cancelled."""
+        """Run the components until cancelled.
+
+        Raises:
+            binding.AddressUnavailableError: An address that the process needs
+                is taken.
+        """
+        give_up_at = binding.compute_give_up_at(self.settings.grace_s)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.discovery.run)
             tasks.start_soon(self._members.run)
             tasks.start_soon(self.registration.run)
             tasks.start_soon(self._quarantine_storage.run)
-            tasks.start_soon(self.reports.run)
+            tasks.start_soon(self.reports.run, give_up_at)
             tasks.start_soon(self.metrics.run, self.settings.metrics_address)
-            tasks.start_soon(self.relay.run, self.settings.relay_address)
+            tasks.start_soon(
+                self.relay.run, self.settings.relay_address, give_up_at
+            )
             while True:
                 due = deadlines.after(SWEEP_INTERVAL_S)
                 await anyio.sleep(SWEEP_INTERVAL_S)
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import functools
 import http
 from typing import Any
 from typing import Final
@@ -12,6 +13,7 @@
 import h11
 import msgspec
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate.http1 import sockets
@@ -429,7 +431,11 @@
 
 
 class Listener:
-    """Accepts connections and tracks the open ones."""
+    """Accepts connections and tracks the open ones.
+
+    Attributes:
+        is_listening: Whether connections are accepted.
+    """
 
     def __init__(
         self,
@@ -443,6 +449,7 @@
         self._is_closing = is_closing
         self._connections: set[Connection] = set()
         self._listeners: Sequence[abc.Listener[Any]] = ()
+        self.is_listening = False
 
     def count_active(self) -> int:
         """Return the number of connections with a request in flight."""
@@ -479,6 +486,7 @@
     async def serve(
         self,
         address: str,
+        give_up_at: float = 0.0,
         *,
         task_status: abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -486,22 +494,46 @@
 
         Reports the port through `task_status`. Connections that are open on
         cancellation continue in the task group of `run`.
+
+        Args:
+            address: The address.
+            give_up_at: Monotonic time until which an address that is taken is
+                tried again; by default it is tried once.
+            task_status: Receives the port.
+
+        Raises:
+            binding.AddressUnavailableError: The address is taken.
         """
         host, _, port = address.rpartition(":")
-        async with await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port), backlog=BACKLOG
+        opener = functools.partial(
+            anyio.create_tcp_listener,
+            local_host=host,
+            local_port=int(port),
+            backlog=BACKLOG,
+        )
+        async with await binding.open_socket(
+            opener, address, give_up_at
         ) as listener:
             self._listeners = listener.listeners
-            task_status.started(listener.extra(abc.SocketAttribute.local_port))
-            while True:
-                try:
-                    await listener.serve(self._serve_one, self.tasks)
-                except* OSError as errors:
-                    # Out of descriptors, or the client reset before `accept`.
-                    logs.log_message(
-                        "accept failed", reason=str(errors.exceptions)
-                    )
-                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+            self.is_listening = True
+            try:
+                await self._accept_forever(listener, task_status)
+            finally:
+                self.is_listening = False
+
+    async def _accept_forever(
+        self,
+        listener: abc.Listener[abc.SocketStream],
+        task_status: abc.TaskStatus[int],
+    ) -> None:
+        task_status.started(listener.extra(abc.SocketAttribute.local_port))
+        while True:
+            try:
+                await listener.serve(self._serve_one, self.tasks)
+            except* OSError as errors:
+                # Out of descriptors, or the client reset before `accept`.
+                logs.log_message("accept failed", reason=str(errors.exceptions))
+            await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
     async def accept_pending(self) -> None:
         """Wait until `serve` has accepted the connections that are queued.
--- a/eelgrassgate/peering/datagrams.py
+++ b/eelgrassgate/peering/datagrams.py
@@ -10,6 +10,9 @@
 
 import anyio
 
+from eelgrassgate import addresses
+from eelgrassgate import binding
+
 MAX_DATAGRAM_BYTES: Final = 65_536
 # Bounds how long other tasks wait for one read.
 MAX_BATCH: Final = 64
@@ -70,6 +73,26 @@
         return found
 
 
+async def open_datagram_socket(
+    address: str, give_up_at: float
+) -> DatagramSocket:
+    """Create a socket bound to `host:port`; try again while that is taken.
+
+    Args:
+        address: The address.
+        give_up_at: Monotonic time of the last attempt.
+
+    Raises:
+        binding.AddressUnavailableError: The last attempt failed.
+    """
+    own = addresses.parse(address)
+
+    async def create() -> DatagramSocket:
+        return create_datagram_socket(own.host, own.port)
+
+    return await binding.open_socket(create, address, give_up_at)
+
+
 def create_datagram_socket(host: str, port: int) -> DatagramSocket:
     """Create a socket bound to an IPv4 address.
 
@@ -79,5 +102,9 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setblocking(False)
-    sock.bind((host, port))
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
     return DatagramSocket(sock)
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -45,11 +45,19 @@
             downstream.Limits, self._handle, lambda: False
         )
 
-    async def run(self, address: str) -> None:
-        """Serve on `host:port` until cancelled."""
+    async def run(self, address: str, give_up_at: float = 0.0) -> None:
+        """Serve on `host:port` until cancelled.
+
+        Args:
+            address: The address.
+            give_up_at: Monotonic time until which a taken address is tried.
+
+        Raises:
+            binding.AddressUnavailableError: The address is taken.
+        """
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._listener.run)
-            tasks.start_soon(self._listener.serve, address)
+            tasks.start_soon(self._listener.serve, address, give_up_at)
 
     async def _handle(
         self,
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -214,10 +214,18 @@
             return False
         return self.is_alive(name)
 
-    async def run(self) -> None:
-        """Send and receive until cancelled."""
-        own = addresses.parse(self._member.address)
-        socket = datagrams.create_datagram_socket(own.host, own.port)
+    async def run(self, give_up_at: float = 0.0) -> None:
+        """Send and receive until cancelled.
+
+        Args:
+            give_up_at: Monotonic time until which a taken address is tried.
+
+        Raises:
+            binding.AddressUnavailableError: The address is taken.
+        """
+        socket = await datagrams.open_datagram_socket(
+            self._member.address, give_up_at
+        )
         async with socket, anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive, socket)
             await self._send_loop(socket)
--- a/eelgrassgate/platform/process.py
+++ b/eelgrassgate/platform/process.py
@@ -10,6 +10,7 @@
 import anyio
 from returns import result
 
+from eelgrassgate import binding
 from eelgrassgate import logs
 from eelgrassgate import signals
 from eelgrassgate.gateway import node
@@ -23,6 +24,9 @@
 ROLES = ("gateway", "batch")
 USAGE_EXIT_CODE = 64
 INVALID_SETTINGS_EXIT_CODE = 2
+# As EX_UNAVAILABLE and EX_SOFTWARE of sysexits.h.
+ADDRESS_UNAVAILABLE_EXIT_CODE = 69
+FAILED_EXIT_CODE = 70
 
 
 def create_adapters(node_settings: settings.Node) -> node.PlatformAdapters:
@@ -106,13 +110,30 @@
     logs.log_message(
         "started", zone=node_settings.zone, region=node_settings.region
     )
-    if not received.must_stop:
-        anyio.run(
-            _run,
-            arguments[0],
-            node_settings,
-            received,
-            backend_options={"use_uvloop": True},
-        )
+    try:
+        if not received.must_stop:
+            anyio.run(
+                _run,
+                arguments[0],
+                node_settings,
+                received,
+                backend_options={"use_uvloop": True},
+            )
+    except Exception as error:
+        return _report_end(error)
     logs.log_message("stopped")
     return 0
+
+
+def _report_end(error: Exception) -> int:
+    """Log why the process ends by itself; return its exit code."""
+    group = ExceptionGroup("", [error])
+    unavailable = group.subgroup(binding.AddressUnavailableError)
+    if unavailable is None:
+        logs.log_exception("ended")
+        return FAILED_EXIT_CODE
+    leaf: BaseException = unavailable
+    while isinstance(leaf, BaseExceptionGroup):
+        leaf = leaf.exceptions[0]
+    logs.log_message("ended", reason=f"address unavailable: {leaf}")
+    return ADDRESS_UNAVAILABLE_EXIT_CODE
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,9 +1,12 @@
 """Starts and ends of real processes, amid signals and taken ports."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -24,6 +27,17 @@
 # Longer than a start takes on an idle machine, so that signals come in each
 # phase of it.
 MAX_DELAY_S: Final = 0.8
+METRICS_PORT: Final = 9_090
+ADDRESS_UNAVAILABLE_EXIT_CODE: Final = 69
+# Ports that a process needs: for callers, readiness probes, reports and relays.
+NEEDED_PORTS: Final = (
+    ("gateway", socket.SOCK_STREAM, 7801),
+    ("gateway", socket.SOCK_STREAM, 7802),
+    ("gateway", socket.SOCK_DGRAM, 7811),
+    ("gateway", socket.SOCK_STREAM, 7812),
+    ("batch", socket.SOCK_DGRAM, 7811),
+    ("batch", socket.SOCK_STREAM, 7812),
+)
 # Prints the modules loaded when the program sets its first handler.
 PRINT_MODULES: Final = """
 import os, runpy, signal, sys
@@ -38,6 +52,16 @@
 SLOW_MODULES: Final = frozenset({"anyio", "asyncio", "msgspec", "tomllib"})
 
 
+@contextlib.contextmanager
+def take(kind: socket.SocketKind, ip: str, port: int) -> Iterator[None]:
+    """Occupy a port as another process does."""
+    with socket.socket(type=kind) as taken:
+        taken.bind((ip, port))
+        if kind is socket.SOCK_STREAM:
+            taken.listen()
+        yield
+
+
 class StartsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -125,6 +149,52 @@
             for number in range(6):
                 tasks.start_soon(run, ROLES[number % 2], SEED + number)
 
+    async def test_taken_metrics_port_is_used_once_it_is_free(self) -> None:
+        async def run(role: str) -> None:
+            daemon = self.create_daemon(role)
+            with take(socket.SOCK_STREAM, daemon.ip, METRICS_PORT):
+                daemon.start()
+                await self.wait_for_line(daemon, "address:unavailable")
+                await self.wait_for_line(daemon, "config:read_failed")
+            await self.wait_for_line(daemon, "address:regained")
+            await (await anyio.connect_tcp(daemon.ip, METRICS_PORT)).aclose()
+            daemon.send_signal(signal.SIGTERM)
+            await self.check_exit(daemon, 0, '"stopped"')
+
+        async with anyio.create_task_group() as tasks:
+            for role in ROLES:
+                tasks.start_soon(run, role)
+
+    async def test_needed_port_of_a_predecessor_is_awaited(self) -> None:
+        async def run(role: str, kind: socket.SocketKind, port: int) -> None:
+            daemon = self.create_daemon(role)
+            with take(kind, daemon.ip, port):
+                daemon.start()
+                await self.wait_for_line(daemon, "address:unavailable")
+            await self.wait_for_line(daemon, "address:regained")
+            daemon.send_signal(signal.SIGTERM)
+            await self.check_exit(daemon, 0, '"stopped"')
+
+        async with anyio.create_task_group() as tasks:
+            for role, kind, port in NEEDED_PORTS:
+                tasks.start_soon(run, role, kind, port)
+
+    async def test_needed_port_that_stays_taken_ends_the_start(self) -> None:
+        async def run(role: str, kind: socket.SocketKind, port: int) -> None:
+            daemon = self.create_daemon(role, grace_s=0.0)
+            with take(kind, daemon.ip, port):
+                daemon.start()
+                await self.check_exit(
+                    daemon,
+                    ADDRESS_UNAVAILABLE_EXIT_CODE,
+                    f'"reason":"address unavailable: {daemon.ip}:{port}: ',
+                )
+            self.assertEqual(daemon.read_log().count('"ended"'), 1)
+
+        async with anyio.create_task_group() as tasks:
+            for role, kind, port in NEEDED_PORTS:
+                tasks.start_soon(run, role, kind, port)
+
     async def test_sigterm_in_any_phase_ends_a_process_cleanly(self) -> None:
         async def run(role: str, seed: int) -> None:
             rng = random.Random(seed)
