Read settings again while they are written, and report odd ones

What was seen: settings without `bounds` ended a start with code 2. Settings that were half written when a process started did so too. On SIGHUP a file with deeply nested arrays, with a number of 5,000 digits or with an infinite limit ended a running process with a traceback. A port above 65535 or an address without a port passed the check and ended the start with a traceback.

Cause: the check knew only the errors that a well-meant file causes, and it was run once, in a task whose failure ends the process. The class: a process relies on a file that others write at the same time.

A start tries for 2 s; a missing `grace-s` is the 8 s of all deployments; each address, port and limit is checked in its bounds; and nothing that the check on SIGHUP raises reaches the event loop.

Tests, before: test_odd_settings_are_reported_instead_of_raised fails in 13 of its 21 cases (RecursionError, ValueError, OverflowError, or accepted), test_missing_bounds_have_defaults in both cases, and of the real processes with half-written settings none started. After: all pass.

--- a/eelgrassgate/platform/boot.py
+++ b/eelgrassgate/platform/boot.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import addresses
 from eelgrassgate import findings
 from eelgrassgate import memory_budget
 from eelgrassgate.gateway import settings
@@ -17,6 +18,14 @@
 BOOT_FILE_VARIABLE: Final = "EELGRASSGATE_BOOT"
 # Must match the port in the deploy file.
 METRICS_PORT: Final = 9_090
+# The grace period of all deployments on the platform's pages.
+DEFAULT_GRACE_S: Final = 8.0
+MAX_GRACE_S: Final = 86_400.0
+MAX_MEMORY_MB: Final = 1e9
+
+_Port = Annotated[
+    int, msgspec.Meta(ge=addresses.MIN_PORT, le=addresses.MAX_PORT)
+]
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -27,13 +36,15 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True, rename="kebab"):
-    grace_s: float
+    grace_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_GRACE_S)] = (
+        DEFAULT_GRACE_S
+    )
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     """Limits of the process; `memory_mb` is in megabytes."""
 
-    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = (
+    memory_mb: Annotated[float, msgspec.Meta(gt=0, le=MAX_MEMORY_MB)] = (
         settings.DEFAULT_MEMORY_BYTES / memory_budget.BYTES_PER_MB
     )
     file_descriptors: Annotated[int, msgspec.Meta(gt=0)] = (
@@ -58,10 +69,10 @@
     zone: str
     region: str
     ip: str
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[_Port, _Port]
     platform: _Platform
-    bounds: _Bounds
     zones: dict[str, str]
+    bounds: _Bounds = _Bounds()
     listen: _Listen = _Listen()
     limits: _Limits = _Limits()
 
@@ -84,14 +95,21 @@
         document = tomllib.loads(pathlib.Path(path).read_text("utf-8"))
     except OSError as error:
         report.add(path, "file", error.strerror or str(error))
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except RecursionError:
+        report.add(path, "file", "is nested too deeply")
+    except ValueError as error:
+        # Not only invalid TOML, but also a number with too many digits.
         report.add(path, "file", str(error))
     if report.has_findings():
         return result.Failure(report)
     _check_fields(path, document, report)
     if report.has_findings():
         return result.Failure(report)
-    return result.Success(_to_node(msgspec.convert(document, _Boot)))
+    boot = msgspec.convert(document, _Boot)
+    _check_addresses(path, boot, report)
+    if report.has_findings():
+        return result.Failure(report)
+    return result.Success(_to_node(boot))
 
 
 def _check_fields(
@@ -115,6 +133,23 @@
             report.add(path, location, message)
 
 
+def _check_addresses(path: str, boot: _Boot, report: findings.Report) -> None:
+    """Check the addresses to listen on and to connect to."""
+    if not addresses.is_ipv4(f"{boot.ip}:{METRICS_PORT}"):
+        report.add(path, "$.ip", "is no IPv4 address")
+    first, last = boot.internal_ports
+    if last <= first:
+        report.add(path, "$.internal-ports", "need to be two ports or more")
+    if not addresses.is_valid(boot.platform.address):
+        report.add(path, "$.platform.address", "is no address")
+    for name, address in (
+        ("front", boot.listen.front),
+        ("ready", boot.listen.ready),
+    ):
+        if address and not addresses.is_valid(address):
+            report.add(path, f"$.listen.{name}", "is no address")
+
+
 def _to_node(boot: _Boot) -> settings.Node:
     return settings.Node(
         boot.node_name,
--- a/eelgrassgate/platform/process.py
+++ b/eelgrassgate/platform/process.py
@@ -5,12 +5,15 @@
 import importlib
 import signal
 import sys
+import time
 from typing import Any
 
 import anyio
 from returns import result
 
 from eelgrassgate import binding
+from eelgrassgate import deadlines
+from eelgrassgate import findings as findings_lib
 from eelgrassgate import logs
 from eelgrassgate import signals
 from eelgrassgate.gateway import node
@@ -21,6 +24,9 @@
 from eelgrassgate.platform import documents
 from eelgrassgate.platform import kv
 
+# The platform writes the settings at each start and on each change.
+SETTINGS_TIMEOUT_S = 2.0
+SETTINGS_RETRY_DELAY_S = 0.05
 ROLES = ("gateway", "batch")
 USAGE_EXIT_CODE = 64
 INVALID_SETTINGS_EXIT_CODE = 2
@@ -88,20 +94,41 @@
 
 def _check_settings() -> None:
     """Validate the settings file again; changes apply at the next start."""
-    loaded = boot.load()
+    try:
+        loaded = boot.load()
+    except Exception:
+        # The running process doesn't depend on the file any more.
+        logs.log_exception("settings:check_failed")
+        return
     findings = ()
     if isinstance(loaded, result.Failure):
         findings = tuple(loaded.failure().render())
     logs.log_message("settings:checked", findings=findings)
 
 
+def _load_settings(
+    received: signals.Receiver,
+) -> result.Result[settings.Node, findings_lib.Report]:
+    """Load the settings; try again for a while, as they may be half written."""
+    give_up_at = deadlines.after(SETTINGS_TIMEOUT_S)
+    while True:
+        loaded = boot.load()
+        if isinstance(loaded, result.Success) or received.must_stop:
+            return loaded
+        if deadlines.is_past(give_up_at):
+            return loaded
+        time.sleep(SETTINGS_RETRY_DELAY_S)
+
+
 def main(arguments: list[str], received: signals.Receiver) -> int:
     """Run one process until SIGTERM; return the exit code."""
     if len(arguments) != 1 or arguments[0] not in ROLES:
         sys.stderr.write(f"usage: python -m eelgrassgate.platform {ROLES}\n")
         return USAGE_EXIT_CODE
-    loaded = boot.load()
+    loaded = _load_settings(received)
     if isinstance(loaded, result.Failure):
+        if received.must_stop:
+            return 0
         for line in loaded.failure().render():
             sys.stderr.write(f"{line}\n")
         return INVALID_SETTINGS_EXIT_CODE
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -204,6 +204,48 @@
             loaded = boot.load("/nowhere") if text is None else self.load(text)
             self.assertIsInstance(loaded, result.Failure)
 
+    def test_missing_bounds_have_defaults(self) -> None:
+        for removed in (
+            "[bounds]\ngrace-s = 8\nlater-s = 1\n",
+            "grace-s = 8\n",
+        ):
+            with self.subTest(removed):
+                node = self.load(SETTINGS.replace(removed, "")).unwrap()
+                self.assertEqual(node.grace_s, boot.DEFAULT_GRACE_S)
+
+    def test_odd_settings_are_reported_instead_of_raised(self) -> None:
+        for name, text in (
+            ("empty file", ""),
+            ("cut file", SETTINGS[: len(SETTINGS) // 2]),
+            ("no text", "\0"),
+            ("deep nest", f"a = {'[' * 5_000}{']' * 5_000}"),
+            ("many digits", f"a = {'1' * 5_000}"),
+            ("section as a value", "bounds = 8\nplatform = []\n"),
+            ("section as a list", SETTINGS.replace("[bounds]", "[[bounds]]")),
+            *(
+                (change, SETTINGS.replace(present, change))
+                for present, change in (
+                    ("grace-s = 8", "grace-s = nan"),
+                    ("grace-s = 8", "grace-s = inf"),
+                    ("grace-s = 8", "grace-s = -1"),
+                    ("grace-s = 8", "grace-s = 1979-05-27"),
+                    ("[7660, 7675]", "[7660]"),
+                    ("[7660, 7675]", "[7660,7660]"),
+                    ("[7660, 7675]", "[65535,65536]"),
+                    ("[7660, 7675]", "[0,1]"),
+                    ('ip = "10.1.0.5"', 'ip = "10.1.0"'),
+                    ('"10.1.0.5:8405"', '"10.1.0.5"'),
+                    ('"10.1.0.5:8405"', '"10.1.0.5:99999"'),
+                    ('"10.200.1.7:8408"', '""'),
+                    ("[bounds]", "[limits]\nmemory-mb = inf\n[bounds]"),
+                    ("[bounds]", "[limits]\nmemory-mb = nan\n[bounds]"),
+                )
+            ),
+        ):
+            with self.subTest(name):
+                self.assertNotEqual(text, SETTINGS)
+                self.assertIsInstance(self.load(text), result.Failure)
+
 
 class DialectTest(unittest.TestCase):
     def read(self, *headers: tuple[bytes, bytes]) -> calls.Call:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -28,6 +28,8 @@
 # phase of it.
 MAX_DELAY_S: Final = 0.8
 METRICS_PORT: Final = 9_090
+INVALID_SETTINGS_EXIT_CODE: Final = 2
+SETTINGS_DELAY_S: Final = 0.2
 ADDRESS_UNAVAILABLE_EXIT_CODE: Final = 69
 # Ports that a process needs: for callers, readiness probes, reports and relays.
 NEEDED_PORTS: Final = (
@@ -195,6 +197,33 @@
             for role, kind, port in NEEDED_PORTS:
                 tasks.start_soon(run, role, kind, port)
 
+    async def test_settings_that_are_half_written_are_read_again(self) -> None:
+        async def run(role: str, text: str) -> None:
+            daemon = self.create_daemon(role)
+            daemon.settings_file.write_text(text, "utf-8")
+            daemon.start_with_present_settings()
+            await self.wait(daemon.handles_signals)
+            await anyio.sleep(SETTINGS_DELAY_S)
+            daemon.write_settings()
+            await self.wait_for_line(daemon, "started")
+            # The platform may be writing again when it sends the signal.
+            daemon.settings_file.write_text(text, "utf-8")
+            daemon.send_signal(signal.SIGHUP)
+            await self.wait_for_line(daemon, "settings:checked")
+            daemon.send_signal(signal.SIGTERM)
+            await self.check_exit(daemon, 0, '"stopped"')
+
+        async with anyio.create_task_group() as tasks:
+            for role in ROLES:
+                for text in ("", "node-name = ", f"a = {'[' * 5_000}"):
+                    tasks.start_soon(run, role, text)
+
+    async def test_settings_that_stay_invalid_end_the_start(self) -> None:
+        daemon = self.create_daemon("gateway")
+        daemon.settings_file.write_text("zone = 1", "utf-8")
+        daemon.start_with_present_settings()
+        await self.check_exit(daemon, INVALID_SETTINGS_EXIT_CODE, "is missing")
+
     async def test_sigterm_in_any_phase_ends_a_process_cleanly(self) -> None:
         async def run(role: str, seed: int) -> None:
             rng = random.Random(seed)
