Start failed tasks of a process again instead of ending it

Nothing shows that callers saw this. A record, report or configuration on which one listener fails was also kept from all other listeners.

Cause: all tasks of a process share one task group, so the least important one decides over the rest. The class: an exception in one part ends the whole.

While a task without which a gateway can't serve fails, the gateway is not ready. Fatal errors, such as an address that stays taken, still end the process. Listeners of mirrors and of the configuration fail alone, a datagram that can't be handled loses its batch only, and a connection that fails unexpectedly no longer ends all others.

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -1,5 +1,6 @@
 """The batch process: claims jobs and runs their items."""
 
+import functools
 from typing import Final
 
 import anyio
@@ -127,11 +128,12 @@
     async def run(self, stop: anyio.Event) -> None:
         """Run jobs until `stop` is set, then drain within the grace period."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._retire)
-            tasks.start_soon(self._report_other_retirements)
             tasks.start_soon(self._node.run)
-            tasks.start_soon(self._open_mirror.run)
-            tasks.start_soon(self._owner.run)
+            start = functools.partial(self._node.supervisor.start, tasks)
+            start("retirement", self._retire)
+            start("other retirements", self._report_other_retirements)
+            start("open jobs", self._open_mirror.run)
+            start("jobs", self._owner.run)
             await stop.wait()
             logs.log_message(
                 "shutdown started", in_hand=self._owner.count_running()
--- a/eelgrassgate/binding.py
+++ b/eelgrassgate/binding.py
@@ -9,6 +9,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate import supervision
 
 MIN_DELAY_S: Final = 0.05
 MAX_DELAY_S: Final = 2.0
@@ -19,7 +20,7 @@
 _T = TypeVar("_T")
 
 
-class AddressUnavailableError(Exception):
+class AddressUnavailableError(supervision.FatalError):
     """An address could not be used in time."""
 
 
--- a/eelgrassgate/gateway/config_sync.py
+++ b/eelgrassgate/gateway/config_sync.py
@@ -300,7 +300,13 @@
             confirmed_ms=deadlines.to_ms(age_s),
         )
         for listener in self._listeners:
-            listener(decoded)
+            try:
+                listener(decoded)
+            except Exception:
+                # The others need the configuration too.
+                logs.log_exception(
+                    "config:listener_failed", version=decoded.version
+                )
 
     def handle_report(self, report: reports.Report) -> None:
         """Start fetching if a peer has a newer version."""
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -1,5 +1,6 @@
 """Gateway process: serves callers and drains on shutdown."""
 
+import functools
 from typing import Final
 
 import anyio
@@ -78,6 +79,7 @@
         return (
             self._node.discovery.is_loaded()
             and self._listener.is_listening
+            and self._node.supervisor.is_sound()
             and not self._shutdown.is_draining
         )
 
@@ -110,13 +112,15 @@
             tasks.start_soon(self._node.run)
             await tasks.start(self._listener.run)
             await tasks.start(self._readiness_listener.run)
+            start = functools.partial(self._node.supervisor.start, tasks)
             if node_settings.ready_address:
-                tasks.start_soon(
+                start(
+                    "readiness",
                     self._readiness_listener.serve,
                     node_settings.ready_address,
                     give_up_at,
                 )
-            tasks.start_soon(self._update_share)
+            start("share", self._update_share)
             accept_scope = anyio.CancelScope()
             if node_settings.callers_address:
                 tasks.start_soon(
@@ -133,7 +137,9 @@
         self, scope: anyio.CancelScope, address: str, give_up_at: float
     ) -> None:
         with scope:
-            await self._listener.serve(address, give_up_at)
+            await self._node.supervisor.run(
+                "callers", self._listener.serve, address, give_up_at
+            )
 
     async def _drain(
         self, accept_scope: anyio.CancelScope, grace_s: float
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -87,6 +87,12 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._task_failures = prometheus_client.Counter(
+            "eelgrassgate_task_failures",
+            "Failures of long-lived tasks, each of which was started again.",
+            ("task",),
+            registry=self._registry,
+        )
         # Resident memory and open descriptors.
         prometheus_client.ProcessCollector(registry=self._registry)
 
@@ -200,6 +206,10 @@
         """Count a forwarded response that states that its endpoint drains."""
         self._draining_responses.inc()
 
+    def count_task_failure(self, task: str) -> None:
+        """Count a failure of a long-lived task."""
+        self._task_failures.labels(task).inc()
+
     def count_run(self, result: str) -> None:
         """Count a run of a batch item."""
         self._runs.labels(result).inc()
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -1,6 +1,7 @@
 """Components shared by gateway and batch processes."""
 
 from collections.abc import Callable
+import functools
 import os
 import time
 from typing import Protocol
@@ -12,6 +13,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
+from eelgrassgate import supervision
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import config_sync
@@ -110,6 +112,9 @@
             adapters.store, self.member
         )
         self.metrics = metrics_lib.create_metrics()
+        self.supervisor = supervision.create_supervisor(
+            self.metrics.count_task_failure
+        )
         self.budget = memory_budget.create_budget(node_settings.memory_bytes)
         self.metrics.observe_memory(self.budget)
         self.loads = loads.create_loads()
@@ -181,27 +186,32 @@
         """
         give_up_at = binding.compute_give_up_at(self.settings.grace_s)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.discovery.run)
-            tasks.start_soon(self._members.run)
-            tasks.start_soon(self.registration.run)
-            tasks.start_soon(self._quarantine_storage.run)
-            tasks.start_soon(self.reports.run, give_up_at)
-            tasks.start_soon(self.metrics.run, self.settings.metrics_address)
-            tasks.start_soon(
-                self.relay.run, self.settings.relay_address, give_up_at
+            start = functools.partial(self.supervisor.start, tasks)
+            start("discovery", self.discovery.run, is_needed=True)
+            start("members", self._members.run)
+            start("registration", self.registration.run)
+            start("quarantine", self._quarantine_storage.run)
+            start("reports", self.reports.run, give_up_at)
+            start("metrics", self.metrics.run, self.settings.metrics_address)
+            start(
+                "relay", self.relay.run, self.settings.relay_address, give_up_at
             )
-            while True:
-                due = deadlines.after(SWEEP_INTERVAL_S)
-                await anyio.sleep(SWEEP_INTERVAL_S)
-                late_s = deadlines.now() - due
-                self.metrics.record_loop_delay(late_s)
-                if late_s > MIN_LATE_S:
-                    # Explains slow responses that have no other cause.
-                    logs.log_message(
-                        "event loop delayed", late_ms=round(late_s * MS_PER_S)
-                    )
-                await self.pool.sweep()
-                await self.discovery.config.sweep()
+            start("sweep", self._sweep)
+
+    async def _sweep(self) -> None:
+        """Observe the event loop and close idle connections."""
+        while True:
+            due = deadlines.after(SWEEP_INTERVAL_S)
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            late_s = deadlines.now() - due
+            self.metrics.record_loop_delay(late_s)
+            if late_s > MIN_LATE_S:
+                # Explains slow responses that have no other cause.
+                logs.log_message(
+                    "event loop delayed", late_ms=round(late_s * MS_PER_S)
+                )
+            await self.pool.sweep()
+            await self.discovery.config.sweep()
 
 
 def create_node(
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -566,5 +566,8 @@
         self._connections.add(connection)
         try:
             await connection.run()
+        except Exception:
+            # It would end all connections.
+            logs.log_exception("connection failed")
         finally:
             self._connections.discard(connection)
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -238,10 +238,15 @@
                 # An unreachable peer causes an error on the socket.
                 logs.log_message("reports:receive_failed", reason=str(error))
                 continue
-            for data, sender in batch:
-                self._handle_datagram(data, sender)
-            for listener in self._listeners:
-                listener.finish_batch()
+            try:
+                for data, sender in batch:
+                    self._handle_datagram(data, sender)
+                for listener in self._listeners:
+                    listener.finish_batch()
+            except Exception:
+                # Each report holds the complete state, so the next batch
+                # replaces this one.
+                logs.log_exception("reports:failed")
 
     def _handle_datagram(self, data: bytes, sender: str) -> None:
         try:
--- a/eelgrassgate/store/mirror.py
+++ b/eelgrassgate/store/mirror.py
@@ -122,10 +122,27 @@
         if not changes and not is_first:
             return
         for listener in self._listeners:
-            listener(changes)
+            self._announce(listener, changes)
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
 
+    def _announce(
+        self, listener: Listener, changes: tuple[base.Change, ...]
+    ) -> None:
+        """Announce changes; one that can't be handled holds up no other."""
+        try:
+            listener(changes)
+        except Exception:
+            if len(changes) > 1:
+                for change in changes:
+                    self._announce(listener, (change,))
+                return
+            logs.log_exception(
+                "mirror:change_failed",
+                prefix=self._prefix,
+                keys=[change.key for change in changes],
+            )
+
     def _mark_connected(self) -> None:
         if not self.is_connected:
             self.is_connected = True
