--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -11,6 +11,7 @@
 import anyio
 import prometheus_client
 
+from eelgrassgate import deadlines
 from eelgrassgate import memory_budget
 from eelgrassgate.http1 import downstream
 
@@ -86,6 +87,12 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._task_failures = prometheus_client.Counter(
+            "eelgrassgate_task_failures",
+            "Failures of long-lived tasks, each of which was started again.",
+            ("task",),
+            registry=self._registry,
+        )
         # Resident memory and open descriptors.
         prometheus_client.ProcessCollector(registry=self._registry)
 
@@ -199,6 +206,10 @@
         """Count a forwarded response that states that its endpoint drains."""
         self._draining_responses.inc()
 
+    def count_task_failure(self, task: str) -> None:
+        """Count a failure of a long-lived task."""
+        self._task_failures.labels(task).inc()
+
     def count_run(self, result: str) -> None:
         """Count a run of a batch item."""
         self._runs.labels(result).inc()
@@ -226,7 +237,9 @@
         )
         async with anyio.create_task_group() as tasks:
             await tasks.start(listener.run)
-            tasks.start_soon(listener.serve, address)
+            # No request depends on the metrics, so a taken address is tried
+            # again for as long as the process runs.
+            tasks.start_soon(listener.serve, address, deadlines.NEVER)
 
     async def _handle_scrape(
         self,
