Count the responses that are skipped before an answer

What callers saw: beside endpoints that send interim responses without end, small requests of other services waited 2 to 4 s, and some requests had no answer when their callers had left (p50 3.9 s for 100 responses of 16 bytes, 2.2 s for 102, 3 of 24 requests without an answer in 7 s; 4 ms without them).

Cause: what is read before an answer was bounded by bytes only. 262,144 bytes are 16,384 interim responses, a quarter of a second of the event loop for each attempt. Late responses, of which each one also encodes the request anew, had no other bound either.

The test failed before with '200 != None': 65 interim or late responses before the answer were skipped. At most 64 are now; then the endpoint counts as broken, like one that sends too many bytes.

--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -27,6 +27,9 @@
 # Bound on what is read before the head of the response and dropped: interim
 # responses and late responses to earlier requests.
 MAX_SKIPPED_BYTES: Final = 262_144
+# Bound on their number; a server that works for a minute may send an interim
+# response every second.
+MAX_SKIPPED_RESPONSES: Final = 64
 # Bounds on reading a body that is not needed. Reading it only saves a new
 # connection.
 MAX_DISCARDED_BYTES: Final = 65_536
@@ -173,7 +176,7 @@
         self, request: Request, is_expected: ResponseFilter
     ) -> None:
         limit = self._received_bytes + MAX_SKIPPED_BYTES
-        while True:
+        for _ in range(MAX_SKIPPED_RESPONSES + 1):
             event = await self._next_event(limit)
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -183,6 +186,7 @@
             if is_expected(self.head):
                 return
             await self._discard_response(request, limit)
+        raise h11.RemoteProtocolError("too many responses before the response")
 
     async def _discard_response(self, request: Request, limit: int) -> None:
         """Discard a response and prepare for the next on the connection."""
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -204,6 +204,36 @@
         await pool.close()
         return found
 
+    async def test_skipped_responses_are_not_counted(self) -> None:
+        late = b"HTTP/1.1 200 OK\r\nrequest-id: b\r\ncontent-length: 0\r\n\r\n"
+        sound = b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\n"
+        bound = upstream.MAX_SKIPPED_RESPONSES
+        for name, skipped in (
+            ("interim", b"HTTP/1.1 100\r\n\r\n"),
+            ("late", late),
+        ):
+            for count, is_answered in ((bound, True), (bound + 1, False)):
+                with self.subTest(name, count=count):
+                    found = await self.read_status(skipped * count, sound)
+                    self.assertEqual(found, 200 if is_answered else None)
+
+    async def read_status(self, skipped: bytes, sound: bytes) -> int | None:
+        request = upstream.Request(b"POST", b"/", ((b"host", b"h"),), b"")
+        pool = upstream.create_pool(1.0)
+        async with (
+            serve_endless(skipped + sound, b"", 0.01) as server,
+            pool.use(server.address) as connection,
+        ):
+            connection.stall_deadline = deadlines.after(TIMEOUT_S)
+            try:
+                await connection.start(
+                    request, lambda head: head.get(b"request-id") == b"a"
+                )
+            except upstream.ExchangeError as error:
+                self.assertTrue(error.was_sent)
+                return None
+            return connection.head.status
+
     async def test_store_calls_read_endless_responses(self) -> None:
         for name, start in (
             ("a body", b"HTTP/1.1 200 OK\r\n\r\n"),
