Log what is dropped when a caller's connection is closed

A connection that ended by its idle timeout, a shutdown or an error left no line, whether or not bytes of a next request had arrived.

'connection closed unread' tells how many bytes were dropped, and whether the connection was idle; 'connection broken' tells the error that ended one with a request.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -248,19 +248,41 @@
                     return
         except h11.RemoteProtocolError as error:
             await self._reply_error(error.error_status_hint)
-        except (ClientDisconnectedError, OSError, anyio.BrokenResourceError):
-            return
-        except anyio.ClosedResourceError:
-            return
+        except (
+            ClientDisconnectedError,
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            if not self.is_idle:
+                logs.log_message(
+                    "connection broken", reason=type(error).__name__
+                )
         except Exception:
             # A bug in handling one connection must not stop the process.
             logs.log_exception("connection failed")
         finally:
+            self._log_unread()
             self.is_idle = False
             is_cut = self._is_cut_without_framing()
             close = sockets.reset if is_cut else sockets.abort
             await close(self._stream)
 
+    def _log_unread(self) -> None:
+        """Log bytes that are dropped with the connection.
+
+        They may be a request that crosses the close.
+        """
+        unread = sockets.count_unread(self._stream)
+        unparsed = len(self._read_ahead) + len(self._http.trailing_data[0])
+        if unread or unparsed:
+            logs.log_message(
+                "connection closed unread",
+                unread=unread,
+                unparsed=unparsed,
+                is_idle=self.is_idle,
+            )
+
     def _is_cut_without_framing(self) -> bool:
         """Return whether an orderly close would make a response look whole.
 
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import errno
+import fcntl
 import select
 import socket
 import struct
+import termios
 from typing import Any
 from typing import Final
 
@@ -25,6 +27,8 @@
 # `struct linger`: enabled, with a timeout of 0, so that closing resets.
 NO_LINGER: Final = struct.pack("ii", 1, 0)
 
+INT: Final = struct.Struct("i")
+
 TCP_OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -96,6 +100,16 @@
     return bool(poll.poll(0))
 
 
+def count_unread(opened: anyio.TypedAttributeProvider) -> int:
+    """Return how many received bytes have not been read; 0 once closed."""
+    try:
+        raw: Any = opened.extra(abc.SocketAttribute.raw_socket)
+        count = fcntl.ioctl(raw.fileno(), termios.FIONREAD, bytes(INT.size))
+    except (AttributeError, ValueError, OSError):
+        return 0
+    return int(INT.unpack(count)[0])
+
+
 async def reset(stream: abc.SocketStream) -> None:
     """Close a connection with a reset instead of an end of stream."""
     with contextlib.suppress(OSError):
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -3,15 +3,20 @@
 from collections.abc import AsyncIterator
 import contextlib
 import socket
+from typing import Any
 from typing import Final
 import unittest
+from unittest import mock
 
 import anyio
+import anyio.abc
 import anyio.lowlevel
 import h11
 
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate.http1 import downstream
+from eelgrassgate.http1 import sockets
 from tests import site as site_lib
 
 LIMITS: Final = downstream.Limits(
@@ -115,6 +120,42 @@
         return received
 
 
+class UnreadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_bytes_dropped_with_a_connection_are_logged(self) -> None:
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        for name, raw, count in (
+            ("none", request, 0),
+            ("another request", request + request, len(request)),
+        ):
+            with (
+                self.subTest(name),
+                mock.patch.object(logs, "log_message") as log_message,
+            ):
+                async with open_listener(Echo()) as (_, port):
+                    await exchange(port, raw)
+                fields = [
+                    one.kwargs
+                    for one in log_message.call_args_list
+                    if one.args == ("connection closed unread",)
+                ]
+                dropped = [one["unread"] + one["unparsed"] for one in fields]
+                self.assertEqual(sum(dropped), count)
+
+    async def test_unread_bytes_are_counted(self) -> None:
+        async with await anyio.create_tcp_listener(
+            local_host="127.0.0.1"
+        ) as listener:
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            with socket.create_connection(("127.0.0.1", port)) as caller:
+                accepting: Any = listener.listeners[0]
+                stream = await accepting.accept()
+                self.assertEqual(sockets.count_unread(stream), 0)
+                caller.sendall(b"hi")
+                self.assertEqual(sockets.count_unread(stream), 2)
+                await sockets.abort(stream)
+                self.assertEqual(sockets.count_unread(stream), 0)
+
+
 @contextlib.asynccontextmanager
 async def open_listener(
     echo: Echo, accepting: anyio.CancelScope | None = None
