Apply the limits in force when a request begins

What callers saw: beside a change of the configuration, a request on a kept connection got no answer, or was refused by a limit that no configuration held any more. Callers reuse a connection for up to four fifths of the idle timeout. After a change that raises it, the gateway still closed the connection at the old one, under the next request, without a line in its log. Likewise a request was refused with 413, 431 or 408 by the sizes and times of a former configuration, or accepted by them after they had been lowered.

Cause: limits were read when the wait for a request began, up to an idle timeout before the request, and the size of a head when the connection was accepted. The class: a decision by a configuration that was read before a wait. Besides, a request that began late in the idle time had only the rest of it to arrive.

Now the idle timeout is read again when it ends, all other limits when the first byte of a request arrives, and the header timeout starts there.

The tests fail on in each of the seven cases: 'longer idle timeout' gets no byte, 'larger body' 413, 'larger head' 431, 'longer header timeout' and a request that begins late 408, 'smaller body', 'smaller head' and 'shorter header timeout' 200.

Two more tests play a process that stands still while a connection expires, or while a drain begins, with a request received: both passed before the change too; these hypotheses are not confirmed.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -230,9 +230,9 @@
         self._read_limits = read_limits
         self._handle = handle
         self._is_closing = is_closing
-        limits = read_limits()
+        self._header_bytes = read_limits().header_bytes
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=self._header_bytes
         )
         self._read_ahead = bytearray()
         self._has_received_eof = False
@@ -305,25 +305,54 @@
 
     async def _read_request(self) -> IncomingRequest | None:
         """Read a request; returns None if the connection must be closed."""
-        limits = self._read_limits()
         self.is_idle = not self._read_ahead and not self._http.trailing_data[0]
-        with anyio.move_on_after(limits.idle_timeout_s) as scope:
+        data = b""
+        if self.is_idle:
+            received = await self._wait_for_request()
+            if received is None:
+                return None
+            data = received
+            self.is_idle = False
+        # Those in force when the request begins.
+        limits = self._read_limits()
+        self._set_header_limit(limits.header_bytes)
+        if data:
+            self._http.receive_data(data)
+        with anyio.move_on_after(limits.header_timeout_s):
             event = await self._next_event()
             while event is None:
-                # The first byte of a head starts the header timeout.
-                self.is_idle = False
-                scope.deadline = min(
-                    scope.deadline,
-                    anyio.current_time() + limits.header_timeout_s,
-                )
                 event = await self._next_event()
             if not isinstance(event, h11.Request):
                 return None
             return await self._read_body(event, limits)
-        if not self.is_idle:
-            await self._reply_error(http.HTTPStatus.REQUEST_TIMEOUT)
+        await self._reply_error(http.HTTPStatus.REQUEST_TIMEOUT)
         return None
 
+    async def _wait_for_request(self) -> bytes | None:
+        """Return the first bytes of a request.
+
+        Returns None if there are none within the idle timeout, which may change
+        during the wait, or the client has closed the connection.
+        """
+        started_at = deadlines.now()
+        while True:
+            expires_at = started_at + self._read_limits().idle_timeout_s
+            if deadlines.is_past(expires_at):
+                return None
+            with anyio.move_on_after(deadlines.compute_remaining(expires_at)):
+                return await self._receive() or None
+
+    def _set_header_limit(self, header_bytes: int) -> None:
+        if header_bytes == self._header_bytes:
+            return
+        self._header_bytes = header_bytes
+        pending, _ = self._http.trailing_data
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=header_bytes
+        )
+        if pending:
+            self._http.receive_data(pending)
+
     async def _read_body(
         self, request: h11.Request, limits: Limits
     ) -> IncomingRequest | None:
@@ -361,6 +390,11 @@
         event = self._http.next_event()
         if event is not h11.NEED_DATA:
             return event
+        self._http.receive_data(await self._receive())
+        return None
+
+    async def _receive(self) -> bytes:
+        """Return the next bytes; none at the end of the stream."""
         if self._read_ahead:
             data = bytes(self._read_ahead)
             self._read_ahead.clear()
@@ -376,8 +410,7 @@
             # sees that its request was not accepted.
             logs.log_message("request dropped on close", bytes=len(data))
             raise anyio.ClosedResourceError
-        self._http.receive_data(data)
-        return None
+        return data
 
     async def _handle_request(self, incoming: IncomingRequest) -> bool:
         """Handle a request; returns whether to keep the connection."""
