Keep an entry alive beside a caller that does not read

What callers saw: one caller of a stream that did not read until some 2 s after its deadline ended the entry, and with it all requests of others (FAULT, LOST). So did such a caller whose key was withdrawn by a change of the configuration, and an agent that sent more than its credit and went on.

Cause: the checks of deadlines and of withdrawn keys end the same exchange again and again until it is closed, each time with one more message. Once the buffer of the exchange is full, its sending side is closed, and the next message raised ClosedResourceError, which nobody expected: in the task that checks deadlines, in a listener of the configuration, or in the reader of a link. The class: an error of one request that ends what serves all.

Now an exchange is ended once, and a message for a closed buffer is dropped as one for a full buffer is. What was buffered still reaches the caller, and a refusal behind it.

--- a/eelgrassgate/entry/exchanges.py
+++ b/eelgrassgate/entry/exchanges.py
@@ -82,8 +82,13 @@
             self._next_sequence += 1
         try:
             self._send.send_nowait(message)
-        except (anyio.WouldBlock, anyio.BrokenResourceError):
-            # The agent exceeded its credit, or the reader is gone.
+        except (
+            anyio.WouldBlock,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            # The agent exceeded its credit, now or before, or the reader is
+            # gone.
             self._send.close()
 
     async def get(self) -> ResponseMessage:
@@ -98,6 +103,8 @@
 
     def abort(self, refusal: outcomes.Refusal) -> None:
         """End the exchange with `refusal`; does not cancel the attempt."""
+        if self.is_aborted:
+            return
         self.is_aborted = True
         self.put(messages.Refused(attempt=self.info.attempt, refusal=refusal))
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,11 +1,15 @@
 import itertools
 import unittest
+from unittest import mock
 
 import anyio
 import httpx
+import msgspec
 
 from eelgrassgate import messages
 from eelgrassgate import outcomes
+from eelgrassgate.entry import dispatch
+from eelgrassgate.entry import exchanges
 from eelgrassgate.link import base as link_base
 from tests import fakes
 
@@ -70,6 +74,19 @@
     pass
 
 
+def flood(peer: link_base.Peer, submit: messages.Submit) -> None:
+    """Send as many parts as the credit allows, all of them large."""
+    head = messages.Head(
+        attempt=submit.attempt, status=200, content_type="text/plain"
+    )
+    peer.send(head)
+    for index in range(exchanges.CREDIT_PARTS):
+        part = messages.Data(
+            attempt=submit.attempt, sequence=index, data=b"x" * 400_000
+        )
+        peer.send(part)
+
+
 def make_first_only(script: fakes.Script) -> fakes.Script:
     """Return a script that runs `script` once and then responds."""
     scripts = itertools.chain((script,), itertools.repeat(fakes.respond))
@@ -221,6 +238,31 @@
         self.assertEqual(responses[0].status_code, 401)
         self.assertEqual(responses[0].json()["error"]["code"], "key_withdrawn")
 
+    async def test_a_caller_that_does_not_read_does_not_end_the_entry(
+        self,
+    ) -> None:
+        agent = fakes.FakeAgent("a1", flood)
+        async with fakes.run_entry(agent) as harness:
+            body = msgspec.json.encode({**PROMPT, "stream": True})
+            stream = await anyio.connect_tcp(
+                "127.0.0.1", int(harness.url.rpartition(":")[2])
+            )
+            with mock.patch.object(
+                exchanges, "DEADLINE_CHECK_INTERVAL_S", 0.01
+            ):
+                async with stream:
+                    await stream.send(
+                        b"POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\n"
+                        b"authorization: Bearer key-desk\r\n"
+                        b"x-request-timeout: 0.1\r\n"
+                        b"content-length: %d\r\n\r\n%s" % (len(body), body)
+                    )
+                    await agent.submitted.wait()
+                    await anyio.sleep(dispatch.DEADLINE_GRACE_S + 1.0)
+                    agent.script = fakes.respond
+                    response = await self.post(harness, CHAT)
+        self.assertEqual(response.status_code, 200)
+
     async def test_a_rate_refusal_comes_before_the_body(self) -> None:
         agent = fakes.FakeAgent("a1", fakes.respond)
         async with fakes.run_entry(agent) as harness:
