Refuse a request whose key is withdrawn while its body is read

What callers saw: a key that a change of the configuration withdrew while the body of its request was read, or while an idempotency key was claimed, still ran the request at an endpoint; the caller got 401 without knowing whether it had run. If the workspace was removed as well, a completion got an internal error, 500.

Cause: the key was checked before the body was read and then only when a message of the response arrived; the check that ends open exchanges does not see those that are not open yet. The weight of the workspace was looked up in a later configuration than the one that admitted the request. The class: a decision by a configuration that was read before a wait.

The key is checked again where the attempt starts; nothing waits between the check and the open exchange. The refusal states that the request has not run.

--- a/eelgrassgate/callers/access_control.py
+++ b/eelgrassgate/callers/access_control.py
@@ -16,6 +16,10 @@
 TIMEOUT_HEADER: Final = "x-request-timeout"
 BEARER: Final = "Bearer "
 
+WITHDRAWN_NOT_RUN: Final = outcomes.refuse(
+    outcomes.Code.KEY_WITHDRAWN, "The key has been withdrawn."
+)
+
 
 def get_deadline(request: requests.Request, source: fleet.Fleet) -> float:
     """Return the deadline from the timeout header, else the default."""
@@ -79,9 +83,14 @@
     ) -> AsyncIterator[base.ResponseMessage]:
         """Yield the messages of `stream`; refuse once the key is withdrawn.
 
-        The key is checked only when a message arrives. The entry aborts
-        requests that are waiting for one.
+        The key is checked before the start, as the body may have taken long to
+        arrive, and when a message arrives. The entry aborts requests that are
+        waiting for one.
         """
+        if not self._authenticator.is_valid(principal):
+            self._count(WITHDRAWN_NOT_RUN, principal.workspace)
+            yield messages.Refused(attempt="", refusal=WITHDRAWN_NOT_RUN)
+            return
         async for message in stream:
             if not self._authenticator.is_valid(principal):
                 yield messages.Refused(attempt="", refusal=exchanges.WITHDRAWN)
--- a/eelgrassgate/callers/completions.py
+++ b/eelgrassgate/callers/completions.py
@@ -153,7 +153,8 @@
         body: bytes,
         deadline: float,
     ) -> dispatch.Request:
-        workspace = self._source.fleet.workspaces[principal.workspace]
+        # The configuration may have changed while the body was read.
+        workspace = self._source.fleet.workspaces.get(principal.workspace)
         return dispatch.Request(
             workspace=principal.workspace,
             klass=outcomes.RequestClass.ONLINE,
@@ -168,6 +169,6 @@
             deadline=deadline,
             digest=principal.digest,
             cost=estimate_cost(completion, body),
-            weight=workspace.weight,
+            weight=workspace.weight if workspace else 1.0,
             digests=compute_digests(completion),
         )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -199,6 +199,7 @@
     """One entry whose dependencies are fakes."""
 
     def __init__(self) -> None:
+        self.source = FakeFleetSource()
         self.authenticator = FakeAuthenticator()
         self.limiter = FakeLimiter()
         self.recorder = FakeRecorder()
@@ -215,7 +216,7 @@
             own,
             services.Services(
                 hello=services.create_hello(own),
-                source=FakeFleetSource(),
+                source=self.source,
                 authenticator=self.authenticator,
                 limiter=self.limiter,
                 recorder=self.recorder,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,3 +1,4 @@
+from collections.abc import AsyncIterator
 import itertools
 import unittest
 from unittest import mock
@@ -238,6 +239,67 @@
         self.assertEqual(responses[0].status_code, 401)
         self.assertEqual(responses[0].json()["error"]["code"], "key_withdrawn")
 
+    async def test_a_key_withdrawn_while_the_body_is_read_runs_nothing(
+        self,
+    ) -> None:
+        for path in (CHAT, "/ledger/hours"):
+            agent = fakes.FakeAgent("a1", fakes.respond)
+            async with fakes.run_entry(agent) as harness:
+
+                async def send_body(
+                    harness: fakes.Harness = harness,
+                ) -> AsyncIterator[bytes]:
+                    body = msgspec.json.encode(PROMPT)
+                    yield body[:10]
+                    await anyio.sleep(0.1)
+                    harness.authenticator.withdraw("key-desk")
+                    await anyio.sleep(0.1)
+                    yield body[10:]
+
+                async with httpx.AsyncClient(
+                    base_url=harness.url, timeout=TIMEOUT_S
+                ) as client:
+                    response = await client.post(
+                        path,
+                        content=send_body(),
+                        headers={"authorization": "Bearer key-desk"},
+                    )
+            with self.subTest(path):
+                code = response.json()["error"]["code"]
+                self.assertEqual(
+                    (response.status_code, code, len(agent.submits)),
+                    (401, "key_withdrawn", 0),
+                )
+                self.assertEqual(response.headers["x-request-ran"], "not_run")
+
+    async def test_a_workspace_removed_while_the_body_is_read_is_refused(
+        self,
+    ) -> None:
+        agent = fakes.FakeAgent("a1", fakes.respond)
+        async with fakes.run_entry(agent) as harness:
+            source = harness.source
+
+            async def send_body() -> AsyncIterator[bytes]:
+                body = msgspec.json.encode(PROMPT)
+                yield body[:10]
+                await anyio.sleep(0.1)
+                source.fleet = msgspec.structs.replace(
+                    source.fleet, workspaces={}
+                )
+                harness.authenticator.withdraw("key-desk")
+                await anyio.sleep(0.1)
+                yield body[10:]
+
+            async with httpx.AsyncClient(
+                base_url=harness.url, timeout=TIMEOUT_S
+            ) as client:
+                response = await client.post(
+                    CHAT,
+                    content=send_body(),
+                    headers={"authorization": "Bearer key-desk"},
+                )
+        self.assertEqual(response.status_code, 401)
+
     async def test_a_caller_that_does_not_read_does_not_end_the_entry(
         self,
     ) -> None:
