Hold at most one received piece of a client connection

What was seen: beside endpoints that send without end, a gateway grew from 36 to 236 MB (102 responses), 314 MB (103 responses with headers) and 211 MB (small events); its limit is 300 MB.

Cause: a stream of anyio resumes reading until its task runs again. uvloop then reads a socket up to 32 times in one pass of the event loop, 8.4 MB with a fast sender, all of it queued before a reader gets 65,536 bytes. No bound of a reader counts it, and with 24 connections it is 200 MB.

Client connections now have a stream that stops reading with each piece of 65,536 bytes. The next piece is read when that one has been taken.

--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -12,6 +12,7 @@
 from anyio import abc
 
 from eelgrassgate import addresses
+from eelgrassgate.http1 import streams
 
 # An unresponsive peer is detected after idle + count * interval = 3 s, less
 # than the 4 s after which the platform considers an instance reachable again.
@@ -68,7 +69,7 @@
     except addresses.InvalidAddressError as error:
         raise OSError(errno.EINVAL, str(error)) from error
     with anyio.move_on_after(timeout_s):
-        stream = await anyio.connect_tcp(target.host, target.port)
+        stream = await streams.connect(target.host, target.port)
         set_options(stream)
         return stream
     raise TimeoutError(f"connecting to {address} timed out after {timeout_s} s")
@@ -78,8 +79,10 @@
     """Return whether nothing listens at `host:port` although its host is up."""
     try:
         stream = await connect(address, timeout_s)
-    except OSError as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
     await abort(stream)
     return False
 
