Signal processes of the soak from the start of their handlers on

The soak sent SIGHUP to processes seconds after their start only, so it could not see that earlier ones ended them. Each process that a fault starts again now gets up to 20 SIGHUPs from the moment it handles signals.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 import anyio
 
 from eelgrassgate.standins import endpoint as endpoint_lib
+from tests.soak import daemons
 from tests.soak import environment as environment_lib
 from tests.soak import proxies
 
@@ -16,12 +17,33 @@
 MAX_DURATION_S: Final = 2.5
 RESTART_DELAY_S: Final = 0.3
 STORE_DELAY_S: Final = 0.2
+# Signals while a process starts, and the longest gap between them.
+MAX_START_SIGNALS: Final = 20
+MAX_SIGNAL_GAP_S: Final = 0.05
+HANDLER_POLL_INTERVAL_S: Final = 0.002
 
 Fault = Callable[
     [environment_lib.Environment, random.Random, float], Awaitable[None]
 ]
 
 
+async def start_amid_signals(
+    daemon: daemons.Daemon, rng: random.Random
+) -> None:
+    """Start a process and tell it of new settings while it starts.
+
+    The signals begin as soon as the process handles them.
+    """
+    if daemon.is_running():
+        return
+    daemon.start()
+    while daemon.is_running() and not daemon.handles_signals():
+        await anyio.sleep(HANDLER_POLL_INTERVAL_S)
+    for _ in range(rng.randint(0, MAX_START_SIGNALS)):
+        daemon.send_signal(signal.SIGHUP)
+        await anyio.sleep(rng.uniform(0.0, MAX_SIGNAL_GAP_S))
+
+
 async def kill_process(
     environment: environment_lib.Environment,
     rng: random.Random,
@@ -32,8 +54,7 @@
     one = rng.choice(list(environment.daemons_by_name.values()))
     await one.kill()
     await anyio.sleep(RESTART_DELAY_S)
-    if not one.is_running():
-        one.start()
+    await start_amid_signals(one, rng)
 
 
 async def stop_process(
@@ -45,8 +66,7 @@
     del duration_s
     one = rng.choice(list(environment.daemons_by_name.values()))
     await one.stop()
-    if not one.is_running():
-        one.start()
+    await start_amid_signals(one, rng)
 
 
 async def kill_all_processes(
@@ -55,13 +75,13 @@
     duration_s: float,
 ) -> None:
     """Kill all processes, then restart them."""
-    del rng, duration_s
+    del duration_s
     for one in environment.daemons_by_name.values():
         await one.kill()
     await anyio.sleep(RESTART_DELAY_S)
-    for one in environment.daemons_by_name.values():
-        if not one.is_running():
-            one.start()
+    async with anyio.create_task_group() as tasks:
+        for one in environment.daemons_by_name.values():
+            tasks.start_soon(start_amid_signals, one, rng)
 
 
 async def pause_process(
