Run items of jobs at endpoints with one slot

What callers saw: items of a job whose service has only endpoints with one slot never ran, even with no other request; the job did not end (LOST).

Cause: one slot of each endpoint is kept free for online requests, whatever the number of its slots. The class: a reserve that may be all there is.

The slot of such an endpoint now takes an item while nothing else runs there; an online request that comes preempts it, as at a full endpoint.

The test fails before for one slot with nothing in flight: False instead of True. Endpoints with more slots are decided as before, which the cases for two slots and the existing tables show.

--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -83,12 +83,16 @@
 
 
 def get_spare_slots(load_table: loads.Loads, endpoint: catalog.Endpoint) -> int:
-    """Return how many slots of an endpoint to keep free."""
+    """Return how many slots of an endpoint to keep free.
+
+    One without online requests always has room for an item.
+    """
     online = load_table.count_in_flight_of_class(
         endpoint.id, outcomes.RequestClass.ONLINE
     )
-    is_peak = online >= PEAK_ONLINE_FRACTION * endpoint.slots
-    return PEAK_SPARE_SLOTS if is_peak else SPARE_SLOTS
+    if online >= PEAK_ONLINE_FRACTION * endpoint.slots:
+        return PEAK_SPARE_SLOTS
+    return min(SPARE_SLOTS, max(0, endpoint.slots - 1))
 
 
 def choose_endpoint(
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,6 +4,8 @@
 from typing import Final
 import unittest
 
+import msgspec
+
 from eelgrassgate import outcomes
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import catalog
@@ -510,6 +512,24 @@
                 found = scheduling.choose_endpoint(placement, table, "engine")
                 self.assertEqual(found is not None, has_room)
 
+    def test_items_run_at_endpoints_with_few_slots(self) -> None:
+        for slots, online, batch, has_room in (
+            (0, 0, 0, False),
+            (1, 0, 0, True),
+            (1, 1, 0, False),
+            (1, 0, 1, False),
+            (2, 0, 0, True),
+            (2, 0, 1, False),
+            (2, 1, 0, False),
+        ):
+            with self.subTest((slots, online, batch)):
+                table = loads.create_loads()
+                table.set_peer_counts("p", {"a": online}, {"a": batch})
+                one = msgspec.structs.replace(make_endpoint("a"), slots=slots)
+                placement = make_placement(table, Clock(), one)
+                found = scheduling.choose_endpoint(placement, table, "engine")
+                self.assertEqual(found is not None, has_room)
+
     def test_items_use_the_slots_between_peaks(self) -> None:
         """Simulates 60 s of peaks; no online request may wait for an item."""
         table = loads.create_loads()
