Run an item again before its job must have ended

What callers saw: an item under which three endpoints in a row had ended waited for 25 s, after four for 120 s. A job has 18 s to end after the last call (finish-s), and an item counts as owed 20 s after its last failure, so it was lost although it was sound and endpoints had room (LOST).

Cause: the delay was bounded by what protects endpoints, not by what the item is owed. Besides, 5.0 to a power above 442 raises OverflowError in the task that handles the outcome.

The delay is a pure function now and bounded at 12 s, which leaves time for the run.

The new test checks the bound for any number of ends. The former expression gives 25 s for three, 120 s for four, and raises for 443 (computed, not played).

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -38,12 +38,6 @@
 # Each lower-ranked member waits this much longer before it claims a job. Must
 # exceed the delay until the others see a claim, which is up to 1.3 s.
 CLAIM_STAGGER_S: Final = 1.7
-# Delay before an item runs again after a run that did not complete it.
-RETRY_DELAY_S: Final = 0.2
-# Factor of that delay for each endpoint that ended under the item; the item
-# may be the cause.
-ENDED_DELAY_FACTOR: Final = 5.0
-MAX_RETRY_DELAY_S: Final = 120.0
 STORE_RETRY_DELAY_S: Final = 0.3
 # Bound on the cached results of closed jobs, a tenth of a small instance's
 # memory.
@@ -623,11 +617,7 @@
             self._placement.record_error(run.endpoint)
         if not is_cancelled and outcome is not items.Outcome.WITHDRAWN:
             self._paused_until_by_item[progress.item.id] = deadlines.after(
-                min(
-                    MAX_RETRY_DELAY_S,
-                    RETRY_DELAY_S
-                    * ENDED_DELAY_FACTOR**progress.ended_endpoints,
-                )
+                scheduling.compute_retry_delay(progress.ended_endpoints)
             )
             if outcome in {items.Outcome.NOT_SENT, items.Outcome.BROKEN}:
                 self._placement.record_unreachable(run.endpoint)
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -44,6 +44,15 @@
 # Lower bound of the estimate, for items that have run longer than estimated.
 MIN_REMAINING_S: Final = 0.5
 
+# Delay before an item runs again after a run that did not complete it.
+RETRY_DELAY_S: Final = 0.2
+# Factor of that delay for each endpoint that ended under the item; the item
+# may be the cause.
+ENDED_DELAY_FACTOR: Final = 5.0
+# Jobs have 18 s to end after their last caller has left; an item that waits
+# must run again within that time.
+MAX_RETRY_DELAY_S: Final = 12.0
+
 
 class Rank(msgspec.Struct, frozen=True, order=True):
     """Sort key of waiting items: those not late first, then by due time."""
@@ -66,6 +75,20 @@
     return Rank(now + remaining_s > due, due)
 
 
+def compute_retry_delay(ended_endpoints: int) -> float:
+    """Return the delay in seconds before an item runs again.
+
+    Args:
+        ended_endpoints: Number of endpoints in a row that ended under it.
+    """
+    delay_s = RETRY_DELAY_S
+    for _ in range(ended_endpoints):
+        delay_s *= ENDED_DELAY_FACTOR
+        if delay_s >= MAX_RETRY_DELAY_S:
+            return MAX_RETRY_DELAY_S
+    return delay_s
+
+
 class RunTimeEstimator:
     """Estimates run times of items by an exponential moving average."""
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -492,6 +492,18 @@
             self.assertEqual(sum(parts), min(excess, sum(counts.values())))
 
 
+class RetryDelayTest(unittest.TestCase):
+    def test_item_under_which_endpoints_end_runs_again_before_its_job_must_end(
+        self,
+    ) -> None:
+        # `finish-s` of the deployments.
+        finish_s = 18.0
+        delays = [scheduling.compute_retry_delay(count) for count in range(999)]
+        self.assertEqual(delays, sorted(delays))
+        self.assertLess(delays[0], 0.5)
+        self.assertLess(delays[-1], finish_s)
+
+
 class PeakTest(unittest.TestCase):
     """Batch items yield to load peaks of online requests."""
 
