Keep a quarantine whose write was answered by a copy of the call

What callers saw: after a loss of all processes at once, a part that ends endpoints ended some more before it was quarantined again. The entry in the key-value service was gone: a call to it may be sent twice, directly and through a relay, and the copy that is applied second may answer first. Its precondition fails then, on the entry that the first copy has just written, and the process ended the lease of this entry and so removed it.

The class: a failed precondition taken for the act of another. The answer holds the record that was found; if it has the lease of this process, it is its own.

The test fails before: the entry is gone (timeout while waiting for it). A second one shows that a process which really writes second still gives its lease back.

--- a/eelgrassgate/quarantine/storage.py
+++ b/eelgrassgate/quarantine/storage.py
@@ -111,13 +111,22 @@
             logs.log_message(
                 "quarantine:write_rejected", key=key, reason=error.message
             )
-        elif lease and not committed.unwrap().is_done:
+        elif lease and not _has_written(committed.unwrap(), lease):
             await self._store.revoke_lease(lease)
         if self._unsaved_until_by_part.get(part) == until:
             del self._unsaved_until_by_part[part]
         return True
 
 
+def _has_written(commit: base.Commit, lease: int) -> bool:
+    """Return whether an entry is stored under this process's lease.
+
+    The answer may be that of a repeated call, which finds the entry of the
+    first.
+    """
+    return commit.is_done or any(one.lease == lease for one in commit.found)
+
+
 def _format_key(part: str) -> str:
     """Return the key of a suspect; a digest if its name is too long."""
     key = PREFIX + urllib.parse.quote(part, safe="")
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import Final
 import unittest
+from unittest import mock
 
 import anyio
 import msgspec
@@ -414,6 +415,43 @@
             await self.wait_for_stored(1)
             tasks.cancel_scope.cancel()
 
+    async def test_entry_survives_a_copy_of_its_write_that_answers_first(
+        self,
+    ) -> None:
+        commit = self.store.commit
+
+        async def commit_twice(transaction: base.Transaction) -> Any:
+            await commit(transaction)
+            return await commit(transaction)
+
+        async with anyio.create_task_group() as tasks:
+            process = self.create(tasks)
+            await anyio.sleep(0.05)
+            with mock.patch.object(self.store, "commit", commit_twice):
+                self.convict(process)
+                await self.wait_for_stored(1)
+                await anyio.sleep(0.1)
+            self.assertEqual(await self.count_stored(), 1)
+            tasks.cancel_scope.cancel()
+
+    async def test_lease_of_a_process_that_writes_second_is_returned(
+        self,
+    ) -> None:
+        async with anyio.create_task_group() as tasks:
+            processes = [self.create(tasks) for _ in range(2)]
+            await anyio.sleep(0.05)
+            with mock.patch.object(
+                self.store, "revoke_lease", wraps=self.store.revoke_lease
+            ) as revoke_lease:
+                for one in processes:
+                    self.convict(one)
+                await self.wait_for_stored(1)
+                with anyio.fail_after(TEST_TIMEOUT_S):
+                    while not revoke_lease.called:
+                        await anyio.sleep(0.01)
+            self.assertEqual(await self.count_stored(), 1)
+            tasks.cancel_scope.cancel()
+
     async def test_all_pages_are_read_at_start(self) -> None:
         # Only the first page was read; the endpoints that later parts crash
         # had to crash again.
