Receive signals from the first line of the own daemons on

What was found by looking for the cause of ended gateways in the other half of the tree: `entry`, `agent` and `local` ended by SIGHUP at any time, and by SIGTERM while they started or in their last steps. `local` never ended if SIGTERM came before it was ready: it waited for an entry that was already leaving.

The command line moves to `operators.command_line`; `main` sets the handlers of daemons before it imports that. One copy of the handling in the event loop serves all programs (`signal_handling`). Of the other signals only SIGTERM and SIGINT have a meaning to these daemons; the rest are logged. A second SIGTERM still ends an entry at once.

The new test fails on the former code: SIGHUP has no handler, ever.

--- a/eelgrassgate/agent/daemon.py
+++ b/eelgrassgate/agent/daemon.py
@@ -1,8 +1,8 @@
 """Builds the agent's components and runs the agent process."""
 
 from collections.abc import Callable
+import functools
 import random
-import signal
 from typing import Any
 from typing import Final
 
@@ -14,6 +14,8 @@
 from eelgrassgate import messages
 from eelgrassgate import outcomes
 from eelgrassgate import settings as process_settings
+from eelgrassgate import signal_handling
+from eelgrassgate import signals
 from eelgrassgate.agent import execution
 from eelgrassgate.agent import fences
 from eelgrassgate.agent import link_handler
@@ -219,14 +221,19 @@
     stop = anyio.Event()
     kill = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop, kill)
+        tasks.start_soon(
+            signal_handling.handle_forever,
+            signals.receive(),
+            functools.partial(_handle_signal, stop, kill),
+        )
         await serve(settings, stop=stop, kill=kill)
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(stop: anyio.Event, kill: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            if stop.is_set():
-                kill.set()
-            stop.set()
+def _handle_signal(stop: anyio.Event, kill: anyio.Event, number: int) -> None:
+    if number not in signals.STOP_SIGNALS:
+        _LOG("signal:ignored", signal=signals.get_name(number))
+        return
+    if stop.is_set():
+        kill.set()
+    stop.set()
--- a/eelgrassgate/entry/daemon.py
+++ b/eelgrassgate/entry/daemon.py
@@ -1,7 +1,7 @@
 """Builds the entry's components and runs the entry process."""
 
+import functools
 import os
-import signal
 import sys
 from typing import Any
 from typing import Final
@@ -13,6 +13,8 @@
 from eelgrassgate import deadlines
 from eelgrassgate import outcomes
 from eelgrassgate import settings
+from eelgrassgate import signal_handling
+from eelgrassgate import signals
 from eelgrassgate.callers import access_control
 from eelgrassgate.callers import app
 from eelgrassgate.callers import base as callers_base
@@ -259,7 +261,11 @@
     )
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, entry, stop)
+        tasks.start_soon(
+            signal_handling.handle_forever,
+            signals.receive(),
+            functools.partial(_handle_signal, entry, stop),
+        )
         aborted = await entry.run(stop)
         tasks.cancel_scope.cancel()
     await store.close()
@@ -267,11 +273,12 @@
     return aborted
 
 
-async def _watch_signals(entry: Entry, stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            if stop.is_set():
-                _LOG("entry:drain_aborted", cut=entry.count_in_flight())
-                # A second signal must end the process without any delay.
-                os._exit(exit_codes.NOT_DRAINED)
-            stop.set()
+def _handle_signal(entry: Entry, stop: anyio.Event, number: int) -> None:
+    if number not in signals.STOP_SIGNALS:
+        _LOG("signal:ignored", signal=signals.get_name(number))
+        return
+    if stop.is_set():
+        _LOG("entry:drain_aborted", cut=entry.count_in_flight())
+        # A second signal must end the process without any delay.
+        os._exit(exit_codes.NOT_DRAINED)
+    stop.set()
--- a/eelgrassgate/local.py
+++ b/eelgrassgate/local.py
@@ -1,9 +1,9 @@
 """Runs the whole system in one process with simulated endpoints."""
 
 from collections.abc import Iterator
+import functools
 import json
 import logging
-import signal
 import sys
 from typing import Any
 from typing import Final
@@ -14,6 +14,8 @@
 from returns import result
 
 from eelgrassgate import settings
+from eelgrassgate import signal_handling
+from eelgrassgate import signals
 from eelgrassgate.agent import daemon as agent_daemon
 from eelgrassgate.config import edit
 from eelgrassgate.config import fleet
@@ -54,15 +56,18 @@
 async def _run_until_signal(port: int) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, stop)
+        tasks.start_soon(
+            signal_handling.handle_forever,
+            signals.receive(),
+            functools.partial(_handle_signal, stop),
+        )
         await serve(port, stop)
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            stop.set()
+def _handle_signal(stop: anyio.Event, number: int) -> None:
+    if number in signals.STOP_SIGNALS:
+        stop.set()
 
 
 async def serve(port: int, stop: anyio.Event) -> None:
@@ -85,9 +90,10 @@
         instance_list.set(agents)
         async with anyio.create_task_group() as entry_tasks:
             address = await entry_tasks.start(_run_entry, entry, stop)
-            while not entry.is_ready():
+            while not entry.is_ready() and not stop.is_set():
                 await anyio.sleep(POLL_INTERVAL_S)
-            _print_connection(address, keys_by_workspace)
+            if not stop.is_set():
+                _print_connection(address, keys_by_workspace)
         agents_stop.set()
         await anyio.lowlevel.checkpoint()
         tasks.cancel_scope.cancel()
--- a/eelgrassgate/platform/process.py
+++ b/eelgrassgate/platform/process.py
@@ -1,6 +1,5 @@
 """The program of a process on the users' platform."""
 
-import asyncio
 import functools
 import importlib
 import signal
@@ -15,6 +14,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import findings as findings_lib
 from eelgrassgate import logs
+from eelgrassgate import signal_handling
 from eelgrassgate import signals
 from eelgrassgate.gateway import node
 from eelgrassgate.gateway import settings
@@ -60,36 +60,22 @@
 ) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_handle_signals, received, stop)
+        tasks.start_soon(
+            signal_handling.handle_forever,
+            received,
+            functools.partial(_handle_signal, stop),
+        )
         await _create_daemon(role, node_settings).run(stop)
         tasks.cancel_scope.cancel()
 
 
-async def _handle_signals(
-    received: signals.Receiver, stop: anyio.Event
-) -> None:
-    """Handle signals, also those that came before the event loop ran."""
-    loop = asyncio.get_running_loop()
-    try:
-        while True:
-            arrived = anyio.Event()
-            received.set_notify(
-                functools.partial(loop.call_soon_threadsafe, arrived.set)
-            )
-            for number in received.take():
-                _handle_signal(number, stop)
-            await arrived.wait()
-    finally:
-        received.set_notify()
-
-
-def _handle_signal(number: int, stop: anyio.Event) -> None:
+def _handle_signal(stop: anyio.Event, number: int) -> None:
     if number in signals.STOP_SIGNALS:
         stop.set()
     elif number == signal.SIGHUP:
         _check_settings()
     else:
-        logs.log_message("signal:ignored", signal=signal.Signals(number).name)
+        logs.log_message("signal:ignored", signal=signals.get_name(number))
 
 
 def _check_settings() -> None:
--- a/eelgrassgate/signals.py
+++ b/eelgrassgate/signals.py
@@ -49,12 +49,19 @@
         self._notify = notify
 
 
+_receiver = Receiver()
+
+
 def receive() -> Receiver:
-    """Set the handlers of this process."""
-    receiver = Receiver()
+    """Set the handlers of this process; return its only receiver."""
     for number in RECEIVED_SIGNALS:
-        signal.signal(number, receiver.record)
-    return receiver
+        signal.signal(number, _receiver.record)
+    return _receiver
+
+
+def get_name(number: int) -> str:
+    """Return the name of a signal, such as `SIGHUP`."""
+    return signal.Signals(number).name
 
 
 def ignore() -> None:
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -20,6 +20,19 @@
 HANDLED_SIGNALS: Final = re.compile(r"^SigCgt:\s*(\w+)$", re.MULTILINE)
 
 
+def handles_signals(pid: int) -> bool:
+    """Return whether a process has set its signal handlers."""
+    mask = 0
+    with contextlib.suppress(OSError):
+        status = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
+        found = HANDLED_SIGNALS.search(status)
+        mask = int(found[1], 16) if found else 0
+    return all(
+        mask >> (number - 1) & 1
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    )
+
+
 class Daemon:
     """One daemon in a child process, on a loopback address of its own."""
 
@@ -108,15 +121,7 @@
 
     def handles_signals(self) -> bool:
         """Return whether the process has set its signal handlers."""
-        mask = 0
-        with contextlib.suppress(OSError):
-            status = pathlib.Path(f"/proc/{self.pid}/status").read_text("utf-8")
-            found = HANDLED_SIGNALS.search(status)
-            mask = int(found[1], 16) if found else 0
-        return all(
-            mask >> (number - 1) & 1
-            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
-        )
+        return handles_signals(self.pid)
 
     def has_exited_unexpectedly(self) -> bool:
         """Return whether the process exited without `stop` or `kill`."""
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -8,7 +8,6 @@
 import anyio.to_thread
 import msgspec
 
-from eelgrassgate import main
 from eelgrassgate import messages
 from eelgrassgate import outcomes
 from eelgrassgate.config import reports
@@ -18,6 +17,7 @@
 from eelgrassgate.keys import digest
 from eelgrassgate.metrics import recorder
 from eelgrassgate.operators import api
+from eelgrassgate.operators import command_line
 from eelgrassgate.operators import exit_codes
 from eelgrassgate.standins import store as store_server
 from eelgrassgate.store import base
@@ -56,7 +56,7 @@
         contextlib.redirect_stdout(output),
         contextlib.redirect_stderr(output),
     ):
-        code = main.main(arguments)
+        code = command_line.main(arguments)
     return code, output.getvalue()
 
 
@@ -69,7 +69,7 @@
                 self.assertIn(words, outcome[1])
 
     def test_every_command_has_help(self) -> None:
-        for command in main.COMMANDS:
+        for command in command_line.COMMANDS:
             with self.subTest(command.words):
                 code, text = run(*command.words.split(), "--help")
                 self.assertEqual(code, exit_codes.OK)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,7 +13,7 @@
 import anyio.to_thread
 import msgspec
 
-from eelgrassgate import main
+from eelgrassgate.operators import command_line
 from eelgrassgate.operators import stores
 from eelgrassgate.standins import store as standin
 from eelgrassgate.store import memory
@@ -72,7 +72,7 @@
         contextlib.redirect_stderr(output),
         contextlib.chdir(ROOT),
     ):
-        main.main(shlex.split(command)[1:])
+        command_line.main(shlex.split(command)[1:])
     return output.getvalue()
 
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -10,11 +10,13 @@
 import subprocess
 import sys
 import tempfile
+from typing import Any
 from typing import Final
 import unittest
 
 import anyio
 
+from bench import processes
 from tests.soak import daemons
 
 SEED: Final = 39
@@ -40,17 +42,46 @@
     ("batch", socket.SOCK_DGRAM, 7811),
     ("batch", socket.SOCK_STREAM, 7812),
 )
+_PLACE: Final = {"instance": "a", "zone": "z1", "region": "r1"}
+OWN_SETTINGS: Final[dict[str, Any]] = {
+    "entry": {
+        "place": _PLACE,
+        "platform": {
+            "store_url": f"http://{STORE_ADDRESS}",
+            "instances_url": f"http://{STORE_ADDRESS}",
+        },
+        "listen": "127.91.2.1:7801",
+        "link_listen": "127.91.2.1:7802",
+        "notice_s": 0.0,
+    },
+    "agent": {
+        "place": _PLACE,
+        "endpoint": "e",
+        "kind": "service",
+        "service": "s",
+        "url": f"http://{STORE_ADDRESS}",
+        "link_listen": "127.91.2.2:7802",
+    },
+}
 # Prints the modules loaded when the program sets its first handler.
 PRINT_MODULES: Final = """
 import os, runpy, signal, sys
+module, argument = sys.argv[1:]
 def print_modules(*arguments):
     print(*sys.modules)
     sys.stdout.flush()
     os._exit(0)
 signal.signal = print_modules
-sys.argv[:] = ["", "gateway"]
-runpy.run_module("eelgrassgate.platform", run_name="__main__", alter_sys=True)
+sys.argv[:] = ["", argument]
+runpy.run_module(module, run_name="__main__", alter_sys=True)
 """
+PROGRAMS: Final = (
+    ("eelgrassgate.platform", "gateway"),
+    ("eelgrassgate.platform", "batch"),
+    ("eelgrassgate.main", "entry"),
+    ("eelgrassgate.main", "agent"),
+    ("eelgrassgate.main", "local"),
+)
 SLOW_MODULES: Final = frozenset({"anyio", "asyncio", "msgspec", "tomllib"})
 
 
@@ -117,16 +148,18 @@
         self.assertIn(last, lines[-1] if lines else "", log)
 
     def test_signal_handlers_are_set_before_slow_imports(self) -> None:
-        done = subprocess.run(
-            [sys.executable, "-c", PRINT_MODULES],
-            cwd=daemons.ROOT,
-            capture_output=True,
-            check=False,
-            text=True,
-        )
-        modules = done.stdout.split()
-        self.assertIn("eelgrassgate.signals", modules, done.stderr)
-        self.assertEqual(SLOW_MODULES.intersection(modules), set())
+        for program in PROGRAMS:
+            with self.subTest(program):
+                done = subprocess.run(
+                    [sys.executable, "-c", PRINT_MODULES, *program],
+                    cwd=daemons.ROOT,
+                    capture_output=True,
+                    check=False,
+                    text=True,
+                )
+                modules = done.stdout.split()
+                self.assertIn("eelgrassgate.signals", modules, done.stderr)
+                self.assertEqual(SLOW_MODULES.intersection(modules), set())
 
     async def test_sighup_in_any_phase_never_ends_a_process(self) -> None:
         async def run(role: str, seed: int) -> None:
@@ -151,6 +184,31 @@
             for number in range(6):
                 tasks.start_soon(run, ROLES[number % 2], SEED + number)
 
+    async def test_signals_do_not_end_processes_of_the_own_interface(
+        self,
+    ) -> None:
+        async def run(name: str, seed: int) -> None:
+            rng = random.Random(seed)
+            arguments = [name]
+            if name in OWN_SETTINGS:
+                path = started.write_settings(name, OWN_SETTINGS[name])
+                arguments += ["--settings", path]
+            one = started.start(name, "eelgrassgate.main", arguments)
+            await self.wait(lambda: daemons.handles_signals(one.pid))
+            for _ in range(rng.randint(1, 40)):
+                one.send(signal.SIGHUP)
+                await anyio.sleep(rng.uniform(0.0, MAX_DELAY_S / 20.0))
+            one.send(signal.SIGTERM)
+            await self.wait(lambda: not one.is_running())
+            self.assertEqual(one.wait(), 0, started.read_log(name))
+
+        async with (
+            processes.run_processes(self.folder) as started,
+            anyio.create_task_group() as tasks,
+        ):
+            for number, name in enumerate(("entry", "agent", "local")):
+                tasks.start_soon(run, name, SEED + number)
+
     async def test_taken_metrics_port_is_used_once_it_is_free(self) -> None:
         async def run(role: str) -> None:
             daemon = self.create_daemon(role)
