--- a/tests/test_standard_files.py
+++ b/tests/test_standard_files.py
@@ -20,9 +20,13 @@
     """
 )
 STARTS: Final = {
-    "platform": "from eelgrassgate import logs; logs.start_logging('a', 'b')",
+    "platform": (
+        "from eelgrassgate import signals\n"
+        "from eelgrassgate.platform import process\n"
+        "process.main([], signals.Receiver())"
+    ),
     "own": (
-        "from eelgrassgate import main; main.main = lambda _: 0\n"
+        "from eelgrassgate import main; sys.argv[1:] = ['--help']\n"
         "try: main.run()\nexcept SystemExit: pass"
     ),
 }
