Count interim responses in calls of engines, stores and lists

What callers would see: an engine, a service, the store or the list of instances that sends interim responses without end holds its caller until its deadline, for calls without one forever, and 65,536 bytes of them (4,096 responses) are 62 ms of the event loop at once.

Cause: the HTTP client skips interim responses without a bound, and its read timeout doesn't end that since there is always something to read. Its connections also queue what a fast server sends, 8 MB in a pass of the event loop.

All clients are now created in one place, over connections that fail after 64 interim responses, read at most 16,384 bytes at once, and have a receive buffer of 131,072 bytes. Readers of bodies and lines give way with each part.

The test failed before for all four clients: no result within 3 s for 65 interim responses, where 64 and a response are still read.

--- a/eelgrassgate/engine/connections.py
+++ b/eelgrassgate/engine/connections.py
@@ -12,9 +12,11 @@
 from typing import TypeVar
 
 import anyio
+import anyio.lowlevel
 import httpx
 
 from eelgrassgate import deadlines
+from eelgrassgate import http_clients
 from eelgrassgate import outcomes
 from eelgrassgate.engine import base
 
@@ -68,29 +70,25 @@
     limits = httpx.Limits(
         max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
     )
-    transport = httpx.AsyncHTTPTransport(
-        verify=_create_ssl_context(url.startswith("https:")),
-        limits=limits,
-        socket_options=_SOCKET_OPTIONS,
-        trust_env=False,
-    )
     timeout = httpx.Timeout(
         connect=CONNECT_TIMEOUT_S,
         write=WRITE_TIMEOUT_S,
         pool=CONNECT_TIMEOUT_S,
         read=read_timeout_s,
     )
-    return httpx.AsyncClient(
-        base_url=url, transport=transport, timeout=timeout, trust_env=False
+    is_encrypted = url.startswith("https:")
+    return http_clients.create_client(
+        url,
+        timeout=timeout,
+        limits=limits,
+        tls=_create_ssl_context() if is_encrypted else None,
+        socket_options=_SOCKET_OPTIONS,
     )
 
 
 @functools.cache
-def _create_ssl_context(is_needed: bool) -> ssl.SSLContext:
-    """Load the CA certificates only if needed, because that is slow."""
-    if is_needed:
-        return ssl.create_default_context()
-    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+def _create_ssl_context() -> ssl.SSLContext:
+    return ssl.create_default_context()
 
 
 class ClientPool:
@@ -146,6 +144,7 @@
     if deadline == deadlines.NEVER:
         async for item in iterator:
             yield item
+            await anyio.lowlevel.checkpoint()
         return
     while True:
         with anyio.CancelScope(deadline=deadline) as scope:
@@ -156,6 +155,7 @@
         if scope.cancelled_caught:
             raise DeadlineError
         yield item
+        await anyio.lowlevel.checkpoint()
 
 
 async def send(
--- a/eelgrassgate/instances/endpointslice.py
+++ b/eelgrassgate/instances/endpointslice.py
@@ -15,6 +15,7 @@
 from returns import result
 
 from eelgrassgate import decoding
+from eelgrassgate import http_clients
 from eelgrassgate import response_limits
 from eelgrassgate.instances import base
 from eelgrassgate.instances import slices
@@ -45,11 +46,12 @@
         """Create the HTTP client; see `create_endpointslice_list`."""
         self._path = slices.get_path(namespace)
         self._watch_duration_s = watch_duration_s
-        self._client = httpx.AsyncClient(
-            base_url=url,
-            trust_env=False,
+        is_encrypted = httpx.URL(url).scheme == "https"
+        self._client = http_clients.create_client(
+            url,
             timeout=httpx.Timeout(CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
             limits=httpx.Limits(max_keepalive_connections=0),
+            tls=httpx.create_ssl_context() if is_encrypted else None,
         )
 
     async def read(
--- a/eelgrassgate/response_limits.py
+++ b/eelgrassgate/response_limits.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import Final
 
+import anyio.lowlevel
 import httpx
 
 # Bound on a response that is read as a whole, such as an error.
@@ -30,6 +31,7 @@
             if size > self._max_bytes:
                 raise TooLargeError(f"a line exceeds {self._max_bytes} bytes")
             yield chunk
+            await anyio.lowlevel.checkpoint()
 
     async def aclose(self) -> None:
         await self._stream.aclose()
@@ -66,4 +68,5 @@
         if size > max_bytes:
             raise TooLargeError(f"the body exceeds {max_bytes} bytes")
         parts.append(chunk)
+        await anyio.lowlevel.checkpoint()
     return b"".join(parts)
--- a/eelgrassgate/store/etcd.py
+++ b/eelgrassgate/store/etcd.py
@@ -22,6 +22,7 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import http_clients
 from eelgrassgate import response_limits
 from eelgrassgate.store import base
 from eelgrassgate.store import etcd_messages
@@ -57,7 +58,7 @@
         self._url = url
         self._call_timeout_s = call_timeout_s
         self._watch_timeout_s = watch_timeout_s
-        self._tls: ssl.SSLContext | bool = False
+        self._tls: ssl.SSLContext | None = None
         if httpx.URL(url).scheme == "https":
             self._tls = httpx.create_ssl_context()
         self._pool = _Pool(_create_client(url, call_timeout_s, self._tls))
@@ -271,17 +272,16 @@
 def _create_client(
     url: str,
     read_timeout_s: float,
-    tls: ssl.SSLContext | bool,
+    tls: ssl.SSLContext | None,
     max_idle: int | None = None,
 ) -> httpx.AsyncClient:
     """Create a client with at most `max_idle` idle connections.
 
     If `max_idle` is 0, as for watches, open connections are not limited.
     """
-    return httpx.AsyncClient(
-        base_url=url,
-        verify=tls,
-        trust_env=False,
+    return http_clients.create_client(
+        url,
+        tls=tls,
         timeout=httpx.Timeout(read_timeout_s, connect=CONNECT_TIMEOUT_S),
         limits=httpx.Limits(
             max_connections=None if max_idle == 0 else MAX_CONNECTIONS,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -5,22 +5,27 @@
 import unittest
 
 import anyio
+import httpx
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import http_clients
 from eelgrassgate import outcomes
 from eelgrassgate.batches import items
 from eelgrassgate.engine import base as engine_base
+from eelgrassgate.engine import connections as engine_connections
 from eelgrassgate.engine import http as engine_http
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
+from eelgrassgate.instances import endpointslice
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import kv
 from eelgrassgate.service import http as service_http
 from eelgrassgate.standins import endpoint
+from eelgrassgate.store import etcd
 from tests import site as site_lib
 
 TIMEOUT_S: Final = 10.0
@@ -140,6 +145,63 @@
         tasks.cancel_scope.cancel()
 
 
+def make_call() -> engine_base.Call:
+    return engine_base.Call(
+        "a",
+        "POST",
+        "/v1/completions",
+        b"{}",
+        "application/json",
+        is_stream=True,
+        deadline=deadlines.after(TIMEOUT_S),
+        fence=1,
+    )
+
+
+async def read_records(url: str) -> str:
+    store = etcd.create_etcd_store(url)
+    found = await store.read("a")
+    await store.close()
+    return str(found)
+
+
+async def read_watch(url: str) -> str:
+    store = etcd.create_etcd_store(url)
+    found = [one async for one in store.watch("a", 1)]
+    await store.close()
+    return str(found)
+
+
+async def read_list(url: str) -> str:
+    instances = endpointslice.create_endpointslice_list(url)
+    found = await instances.read("a")
+    await instances.close()
+    return str(found)
+
+
+async def read_engine(url: str) -> str:
+    client = engine_connections.create_client(url, read_timeout_s=TIMEOUT_S)
+    found = ""
+    try:
+        response = await engine_connections.send(
+            client, make_call(), has_read_timeout=False
+        )
+        await response.aread()
+    except httpx.HTTPError as error:
+        found = str(error)
+    await client.aclose()
+    return found
+
+
+# By name: reads a response from a URL and returns the failure as text.
+HTTP_CLIENTS: Final = {
+    "records": read_records,
+    "watch": read_watch,
+    "list": read_list,
+    "engine": read_engine,
+}
+
+
 class ReaderTest(unittest.IsolatedAsyncioTestCase):
     async def test_items_are_held_by_endless_responses(self) -> None:
         for name, start, repeated, outcome in (
@@ -265,16 +327,7 @@
             with self.subTest(name):
                 async with serve_endless(start, PADDING, 0.0) as server:
                     adapter = create(f"http://{server.address}")
-                    call = engine_base.Call(
-                        "a",
-                        "POST",
-                        "/v1/completions",
-                        b"{}",
-                        "application/json",
-                        is_stream=True,
-                        deadline=deadlines.after(TIMEOUT_S),
-                        fence=1,
-                    )
+                    call = make_call()
                     with anyio.fail_after(MAX_ANSWER_S):
                         parts = [part async for part in adapter.call(call)]
                     end = parts[-1]
@@ -289,6 +342,26 @@
                     self.assertIsNone(await adapter.read_load())
                 await adapter.close()
 
+    async def test_interim_responses_hold_http_clients(self) -> None:
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+        sound = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+        bound = http_clients.MAX_INTERIM_RESPONSES
+        for name, read in HTTP_CLIENTS.items():
+            with self.subTest(name):
+                async with serve_endless(
+                    interim * (bound + 1), b"", 0.01
+                ) as server:
+                    with anyio.fail_after(MAX_ANSWER_S):
+                        found = await read(f"http://{server.address}")
+                    self.assertIn("too many interim responses", found)
+            with self.subTest(name, is_sound=True):
+                async with serve_endless(
+                    interim * bound + sound, b"", 0.01
+                ) as server:
+                    with anyio.fail_after(MAX_ANSWER_S):
+                        found = await read(f"http://{server.address}")
+                    self.assertNotIn("interim", found)
+
     def test_event_buffer_grows_without_bound(self) -> None:
         splitter = events.Splitter()
         with self.assertRaises(events.EventTooLargeError):
