Refuse compressed responses that none was asked for

What was seen: 10 kB of gzip in an answer of an engine, the store or the list of instances became 10 MB at once; the bounds on bodies and lines count it only afterwards, and a body of 1 MB becomes 1 GB.

Cause: the HTTP client asks for compressed responses by default, and decodes whatever the server then names, a whole read at a time.

Clients now ask for plain bodies and fail at any other. The test failed before for all four clients ('unexpected encoding' not found in 'JSON is malformed', that is, the 10 MB had been read; the engine's client took them).

--- a/eelgrassgate/http_clients.py
+++ b/eelgrassgate/http_clients.py
@@ -122,6 +122,16 @@
         )
 
 
+async def _refuse_encoding(response: httpx.Response) -> None:
+    """Fail if a body is compressed, which none was asked to be.
+
+    A few bytes could become more than fits into memory.
+    """
+    encoding = response.headers.get("content-encoding", "identity")
+    if encoding.strip().lower() != "identity":
+        raise httpx.RemoteProtocolError(f"unexpected encoding: {encoding}")
+
+
 def create_client(
     url: str,
     *,
@@ -147,4 +157,6 @@
         transport=_Transport(tls, limits, socket_options),
         timeout=timeout,
         trust_env=False,
+        headers={"accept-encoding": "identity"},
+        event_hooks={"response": [_refuse_encoding]},
     )
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Servers whose responses never end until their caller closes."""
 
 import contextlib
+import gzip
 from typing import Final
 import unittest
 
@@ -362,6 +363,19 @@
                         found = await read(f"http://{server.address}")
                     self.assertNotIn("interim", found)
 
+    async def test_compressed_responses_grow_in_http_clients(self) -> None:
+        bomb = gzip.compress(bytes(10_000_000))
+        head = b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\n"
+        length = b"content-length: %d\r\n\r\n" % len(bomb)
+        for name, read in HTTP_CLIENTS.items():
+            with self.subTest(name):
+                async with serve_endless(
+                    head + length + bomb, b"", 0.01
+                ) as server:
+                    with anyio.fail_after(MAX_ANSWER_S):
+                        found = await read(f"http://{server.address}")
+                    self.assertIn("unexpected encoding", found)
+
     def test_event_buffer_grows_without_bound(self) -> None:
         splitter = events.Splitter()
         with self.assertRaises(events.EventTooLargeError):
