Bound what is read of records and lists

What was seen: responses of the store and lists of instances were read as a whole, whatever their size, until the call timed out after 3 s; a fast server sends gigabytes in that time.

Cause: only the watches of both had a bound, on their lines.

Both are now read up to 64 MiB, enough for all records of a configuration. The test failed before: with a bound of 1 MB no result came within 3 s.

--- a/eelgrassgate/instances/endpointslice.py
+++ b/eelgrassgate/instances/endpointslice.py
@@ -22,6 +22,8 @@
 
 # Bound on one event of a watch, which holds one slice.
 MAX_EVENT_BYTES: Final = 16_777_216
+# Bound on the list of all slices of a service.
+MAX_LIST_BYTES: Final = 67_108_864
 CALL_TIMEOUT_S: Final = 3.0
 CONNECT_TIMEOUT_S: Final = 1.0
 WATCH_DURATION_S: Final = 10
@@ -108,13 +110,14 @@
     ) -> result.Result[slices.SliceList, base.ListError]:
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
-                response = await self._client.get(
-                    self._path, params=_build_params(service)
-                )
-            response.raise_for_status()
-            return result.Success(
-                decoding.decode(_LIST_DECODER, response.content)
-            )
+                async with self._client.stream(
+                    "GET", self._path, params=_build_params(service)
+                ) as response:
+                    response.raise_for_status()
+                    body = await response_limits.read_body(
+                        response, MAX_LIST_BYTES
+                    )
+            return result.Success(decoding.decode(_LIST_DECODER, body))
         except (TimeoutError, httpx.HTTPError, msgspec.DecodeError) as error:
             return result.Failure(base.ListError(_describe(error)))
 
--- a/eelgrassgate/store/etcd.py
+++ b/eelgrassgate/store/etcd.py
@@ -29,6 +29,8 @@
 
 # Bound on one response of a watch, which holds several changes.
 MAX_EVENT_BYTES: Final = 16_777_216
+# Bound on any other response, such as all records of the configuration.
+MAX_RESPONSE_BYTES: Final = 67_108_864
 CALL_TIMEOUT_S: Final = 3.0
 CONNECT_TIMEOUT_S: Final = 1.0
 WATCH_TIMEOUT_S: Final = 6.0
@@ -232,16 +234,18 @@
         pool.calls += 1
         try:
             with anyio.fail_after(self._call_timeout_s):
-                response = await pool.client.post(
-                    path, content=msgspec.json.encode(request)
-                )
-            if response.status_code in allowed:
+                async with pool.client.stream(
+                    "POST", path, content=msgspec.json.encode(request)
+                ) as response:
+                    body = await response_limits.read_body(
+                        response, MAX_RESPONSE_BYTES
+                    )
+            status = response.status_code
+            if status in allowed:
                 return result.Success(msgspec.json.decode(b"{}", type=kind))
-            if response.status_code >= MIN_ERROR_STATUS:
-                return _parse_error(response)
-            return result.Success(
-                msgspec.json.decode(response.content, type=kind)
-            )
+            if status >= MIN_ERROR_STATUS:
+                return _parse_error(status, body)
+            return result.Success(msgspec.json.decode(body, type=kind))
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             return _fail(base.Fault.NOT_DONE, _describe(error))
         except httpx.PoolTimeout as error:
@@ -381,16 +385,16 @@
 
 
 def _parse_error(
-    response: httpx.Response,
+    status: int, body: bytes
 ) -> result.Result[_T, base.StoreError]:
     """Decode an error; a status of 4xx means that there was no effect."""
-    message = f"status {response.status_code}"
+    message = f"status {status}"
     with contextlib.suppress(msgspec.DecodeError):
-        error = msgspec.json.decode(response.content, type=etcd_messages.Error)
+        error = msgspec.json.decode(body, type=etcd_messages.Error)
         message = error.message or message
-    if response.status_code >= MIN_SERVER_ERROR_STATUS:
+    if status >= MIN_SERVER_ERROR_STATUS:
         return _fail(base.Fault.UNKNOWN, message)
-    is_rejected = response.status_code == BAD_REQUEST_STATUS
+    is_rejected = status == BAD_REQUEST_STATUS
     return _fail(base.Fault.NOT_DONE, message, is_rejected=is_rejected)
 
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -4,6 +4,7 @@
 import gzip
 from typing import Final
 import unittest
+from unittest import mock
 
 import anyio
 import httpx
@@ -376,6 +377,24 @@
                         found = await read(f"http://{server.address}")
                     self.assertIn("unexpected encoding", found)
 
+    async def test_lists_and_records_are_read_without_bound(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        limit = 1_000_000
+        limits = (
+            mock.patch.object(etcd, "MAX_RESPONSE_BYTES", limit),
+            mock.patch.object(endpointslice, "MAX_LIST_BYTES", limit),
+        )
+        for name in ("records", "list"):
+            with self.subTest(name), limits[0], limits[1]:
+                async with serve_endless(head, PADDING * 16, 0.0) as server:
+                    with anyio.fail_after(MAX_ANSWER_S):
+                        found = await HTTP_CLIENTS[name](
+                            f"http://{server.address}"
+                        )
+                    self.assertIn("the body exceeds", found)
+                    # Socket buffers hold what was not read.
+                    self.assertLess(server.endless_bytes, limit + 16_000_000)
+
     def test_event_buffer_grows_without_bound(self) -> None:
         splitter = events.Splitter()
         with self.assertRaises(events.EventTooLargeError):
