Search only new bytes for the end of an event

What was seen: an event of 64,000 bytes that arrives in parts of one byte, as in chunks of one byte, takes 2.8 s of processor time, in a gateway or a batch process.

Cause: each part copied and searched all that was buffered. The bound of 65,536 bytes on an event bounds memory, not the time, which grew with its square.

The buffer is now extended in place and searched from its end on. A second test splits the same bytes into parts of all sizes.

--- a/eelgrassgate/http1/events.py
+++ b/eelgrassgate/http1/events.py
@@ -37,7 +37,7 @@
 
     def __init__(self) -> None:
         """Initialize with an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that `data` completes.
@@ -45,7 +45,13 @@
         Raises:
             EventTooLargeError: An incomplete event exceeds its bound.
         """
-        *complete, self._buffer = (self._buffer + data).split(_TERMINATOR)
+        # What was buffered holds no terminator, but may end with its start.
+        start = max(0, len(self._buffer) - len(_TERMINATOR) + 1)
+        self._buffer += data
+        complete: list[bytes] = []
+        if self._buffer.find(_TERMINATOR, start) >= 0:
+            *complete, rest = bytes(self._buffer).split(_TERMINATOR)
+            self._buffer = bytearray(rest)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLargeError(
                 f"no end of an event within {MAX_EVENT_BYTES} bytes"
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import gzip
+import time
 from typing import Final
 import unittest
 from unittest import mock
@@ -405,3 +406,31 @@
         with self.assertRaises(events.EventTooLargeError):
             for _ in range(events.MAX_EVENT_BYTES // len(PADDING) + 1):
                 splitter.feed(PADDING)
+
+    def test_an_event_in_small_parts_is_searched_again_and_again(self) -> None:
+        few = min(measure_split(4_000) for _ in range(3))
+        many = min(measure_split(64_000) for _ in range(3))
+        # 16 times the parts; 256 times the time if each searches all of them.
+        self.assertLess(many, 64 * few)
+
+    def test_parts_split_events_otherwise_than_the_whole(self) -> None:
+        data = b"\n\n\na: b\n\n\n\nid: 1\n\ndata: \n\n\n\n\nid: 2\n"
+        whole = events.Splitter()
+        expected = whole.feed(data)
+        for size in range(1, len(data)):
+            with self.subTest(size=size):
+                splitter = events.Splitter()
+                found: list[events.Event] = []
+                for start in range(0, len(data), size):
+                    found += splitter.feed(data[start : start + size])
+                self.assertEqual(found, expected)
+                self.assertTrue(splitter.has_partial_event())
+
+
+def measure_split(parts: int) -> float:
+    """Return the processor time of an event in parts of one byte."""
+    splitter = events.Splitter()
+    started_at = time.process_time()
+    for _ in range(parts):
+        splitter.feed(b"x")
+    return time.process_time() - started_at
