Take event ids of any kind for broken output

What was seen: an event id of 5,000 digits, or of digits of another script, ends the run of an item with an error of the process: 'internal error' and a traceback instead of a broken run, so the endpoint isn't checked and doesn't count as faulty.

Cause: str.isdigit() is true for text that int() doesn't take.

Ids are compared as numbers only if they are up to 18 ASCII digits. The test failed before with 'ValueError: Exceeds the limit (4300 digits)' and 'ValueError: invalid literal for int() with base 10'.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -20,6 +20,8 @@
 IDLE_TIMEOUT_S: Final = 2.5
 # Bound on the bytes that one run of an item may send.
 MAX_OUTPUT_BYTES: Final = 4_194_304
+# An event id beyond this is no count of events.
+MAX_NUMBER_DIGITS: Final = 18
 OK: Final = 200
 UNPROCESSABLE: Final = 422
 INTERNAL_SERVER_ERROR_STATUS: Final = 500
@@ -262,9 +264,16 @@
 
     Ids that are not decimal numbers are not checked.
     """
-    if not (last_id.isdigit() and event_id.isdigit()):
-        return True
-    return int(event_id) == int(last_id) + 1
+    last = _parse_number(last_id)
+    number = _parse_number(event_id)
+    return last is None or number is None or number == last + 1
+
+
+def _parse_number(event_id: str) -> int | None:
+    """Return an event id as a number; None if it is none of a usual size."""
+    if len(event_id) > MAX_NUMBER_DIGITS or not event_id.isascii():
+        return None
+    return int(event_id) if event_id.isdigit() else None
 
 
 def compute_deadline(kept_until: float, wall_time: float) -> float:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -243,6 +243,19 @@
                     found = await self.run_item(start, repeated, delay_s)
                     self.assertEqual(found, outcome)
 
+    async def test_event_ids_end_a_run_with_an_error(self) -> None:
+        # A run that ends with an error is none that its endpoint has broken.
+        for name, event_id in (
+            ("many digits", b"1" * 5_000),
+            ("digits of another script", "\u00b2".encode()),
+        ):
+            with self.subTest(name):
+                events_sent = b"id: %b\ndata: a\n\n" % event_id * 2
+                found = await self.run_item(
+                    SIGNED_HEAD + events_sent, b"data: " + PADDING, 0.0
+                )
+                self.assertEqual(found, items.Outcome.BROKEN)
+
     async def run_item(
         self, start: bytes, repeated: bytes, delay_s: float
     ) -> items.Outcome | None:
