Bound events of engines, not only their lines

What callers would see: an engine that sends lines without end and no blank line holds its call until the deadline, and the process keeps all lines of the event.

Cause: the bound of 1 MiB was on a line. Events are decoded from lines, and an event ends at a blank line only.

What is read of an engine's stream is now bounded between blank lines. The test failed before with TimeoutError (no failure within 3 s) for data lines that end with LF or CRLF, and for comments; streams of events with LF, CRLF and CR, in pieces of any size, are still read.

--- a/eelgrassgate/engine/http.py
+++ b/eelgrassgate/engine/http.py
@@ -165,7 +165,7 @@
     response: httpx.Response, deadline: float
 ) -> AsyncGenerator[base.Part, None]:
     is_complete = False
-    response_limits.limit_lines(response)
+    response_limits.limit_parts(response, response_limits.EVENT_ENDS)
     events = httpx_sse.EventSource(response).aiter_sse()
     async for event in connections.iterate_until(events, deadline):
         is_complete = event.data == DONE
--- a/eelgrassgate/instances/endpointslice.py
+++ b/eelgrassgate/instances/endpointslice.py
@@ -139,7 +139,7 @@
             timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
         ) as response:
             response.raise_for_status()
-            response_limits.limit_lines(response, MAX_EVENT_BYTES)
+            response_limits.limit_parts(response, max_bytes=MAX_EVENT_BYTES)
             lines = response.aiter_lines()
             while True:
                 try:
--- a/eelgrassgate/response_limits.py
+++ b/eelgrassgate/response_limits.py
@@ -8,28 +8,43 @@
 
 # Bound on a response that is read as a whole, such as an error.
 MAX_BODY_BYTES: Final = 1_048_576
-# Bound on one line of a response that is read line by line.
+# Bound on one line, or event, of a response that is read by these.
 MAX_LINE_BYTES: Final = 1_048_576
+LINE_ENDS: Final = (b"\n",)
+# Blank lines.
+EVENT_ENDS: Final = (b"\n\n", b"\n\r\n", b"\r\r")
 
 
 class TooLargeError(httpx.RemoteProtocolError):
-    """A response, or one line of it, exceeds its limit."""
+    """A response, or one line or event of it, exceeds its limit."""
 
 
-class _LineLimit(httpx.AsyncByteStream):
-    """A response body that fails if a line is too long."""
+class _PartLimit(httpx.AsyncByteStream):
+    """A response body that fails if a line or an event is too long."""
 
-    def __init__(self, stream: httpx.AsyncByteStream, max_bytes: int) -> None:
+    def __init__(
+        self,
+        stream: httpx.AsyncByteStream,
+        ends: tuple[bytes, ...],
+        max_bytes: int,
+    ) -> None:
         self._stream = stream
+        self._ends = ends
         self._max_bytes = max_bytes
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
+        overlap = max(map(len, self._ends)) - 1
         size = 0
+        last = b""
         async for chunk in self._stream:
-            last_end = chunk.rfind(b"\n")
-            size = size + len(chunk) if last_end < 0 else len(chunk) - last_end
+            last += chunk
+            end = max(last.rfind(one) for one in self._ends)
+            size = size + len(chunk) if end < 0 else len(last) - end
             if size > self._max_bytes:
-                raise TooLargeError(f"a line exceeds {self._max_bytes} bytes")
+                raise TooLargeError(
+                    f"a line or event exceeds {self._max_bytes} bytes"
+                )
+            last = last[len(last) - overlap :] if overlap else b""
             yield chunk
             await anyio.lowlevel.checkpoint()
 
@@ -37,19 +52,22 @@
         await self._stream.aclose()
 
 
-def limit_lines(
-    response: httpx.Response, max_bytes: int = MAX_LINE_BYTES
+def limit_parts(
+    response: httpx.Response,
+    ends: tuple[bytes, ...] = LINE_ENDS,
+    max_bytes: int = MAX_LINE_BYTES,
 ) -> None:
-    """Make reading a response fail if one of its lines is too long.
+    """Make reading a response fail if one of its lines or events is too long.
 
     Reading then raises `TooLargeError`.
 
     Args:
         response: A streamed response whose body has not been read.
-        max_bytes: Limit of a line, counted in whole chunks.
+        ends: What ends a line or event.
+        max_bytes: Limit of one, counted in whole chunks.
     """
     assert isinstance(response.stream, httpx.AsyncByteStream)
-    response.stream = _LineLimit(response.stream, max_bytes)
+    response.stream = _PartLimit(response.stream, ends, max_bytes)
 
 
 async def read_body(
--- a/eelgrassgate/store/etcd.py
+++ b/eelgrassgate/store/etcd.py
@@ -190,7 +190,7 @@
                 etcd_messages.WATCH_PATH,
                 content=msgspec.json.encode(request),
             ) as response:
-                response_limits.limit_lines(response, MAX_EVENT_BYTES)
+                response_limits.limit_parts(response, max_bytes=MAX_EVENT_BYTES)
                 lines = response.aiter_lines()
                 while True:
                     with anyio.fail_after(self._watch_timeout_s):
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,5 +1,6 @@
 """Servers whose responses never end until their caller closes."""
 
+from collections.abc import AsyncIterator
 import contextlib
 import gzip
 import time
@@ -197,6 +198,18 @@
     return found
 
 
+class Pieces(httpx.AsyncByteStream):
+    """A body that arrives in pieces of one size."""
+
+    def __init__(self, data: bytes, size: int) -> None:
+        self._data = data
+        self._size = size
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        for start in range(0, len(self._data), self._size):
+            yield self._data[start : start + self._size]
+
+
 # By name: reads a response from a URL and returns the failure as text.
 HTTP_CLIENTS: Final = {
     "records": read_records,
@@ -336,13 +349,18 @@
         lost = outcomes.Code.ENDPOINT_LOST
         stream = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
         conflict = b"HTTP/1.1 409 No\r\n\r\n"
-        for name, create, start in (
-            ("an event", engine_http.create_engine, stream + b"data: "),
-            ("a conflict", engine_http.create_engine, conflict),
-            ("a conflict of a service", service_http.create_service, conflict),
+        engine = engine_http.create_engine
+        service = service_http.create_service
+        for name, create, start, repeated in (
+            ("a line", engine, stream + b"data: ", PADDING),
+            ("lines", engine, stream, b"data: x\n" * 4_000),
+            ("lines with CRLF", engine, stream, b"data: x\r\n" * 4_000),
+            ("comments", engine, stream, b":\n" * 16_000),
+            ("a conflict", engine, conflict, PADDING),
+            ("a conflict of a service", service, conflict, PADDING),
         ):
             with self.subTest(name):
-                async with serve_endless(start, PADDING, 0.0) as server:
+                async with serve_endless(start, repeated, 0.0) as server:
                     adapter = create(f"http://{server.address}")
                     call = make_call()
                     with anyio.fail_after(MAX_ANSWER_S):
@@ -383,6 +401,24 @@
                         found = await read(f"http://{server.address}")
                     self.assertNotIn("interim", found)
 
+    async def test_long_streams_of_events_are_cut(self) -> None:
+        for name, end in (
+            ("LF", b"\n\n"),
+            ("CRLF", b"\r\n\r\n"),
+            ("CR", b"\r\r"),
+        ):
+            for size in (1, 7, 100):
+                with self.subTest(name, size=size):
+                    event = b"data: " + PADDING[:50] + end
+                    data = event * 8
+                    response = httpx.Response(200, stream=Pieces(data, size))
+                    response_limits.limit_parts(
+                        response,
+                        response_limits.EVENT_ENDS,
+                        2 * len(event) + size,
+                    )
+                    self.assertEqual(await response.aread(), data)
+
     async def test_compressed_responses_grow_in_http_clients(self) -> None:
         bomb = gzip.compress(bytes(10_000_000))
         head = b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\n"
