Keep the bound on a decompressed chunk

What was seen: 9 kB of a chunk became 300 MB, although its bound is 64 MB.

Cause: the decompressor applies its limit only to data without a size in its header; with one it allocates what the header says. Chunks are written by the system itself, so this takes a broken record.

The size in the header is checked first. The test failed before with 'ZstdError not raised' for data with a size in its header.

--- a/eelgrassgate/jobs/packing.py
+++ b/eelgrassgate/jobs/packing.py
@@ -44,7 +44,16 @@
 
 
 def decompress(data: bytes) -> bytes:
-    """Decompress bytes; fails if the result exceeds `MAX_RAW_BYTES`."""
+    """Decompress bytes.
+
+    Raises:
+        zstandard.ZstdError: The data is malformed, or the result exceeds
+            `MAX_RAW_BYTES`.
+    """
+    # The limit of the decompressor does not apply to a size in the header.
+    size = zstandard.frame_content_size(data)
+    if size > MAX_RAW_BYTES:
+        raise zstandard.ZstdError(f"{size} bytes exceed {MAX_RAW_BYTES}")
     return zstandard.ZstdDecompressor().decompress(
         data, max_output_size=MAX_RAW_BYTES
     )
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -11,6 +11,7 @@
 import anyio
 import httpx
 import msgspec
+import zstandard
 
 from eelgrassgate import deadlines
 from eelgrassgate import http_clients
@@ -26,6 +27,7 @@
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
 from eelgrassgate.instances import endpointslice
+from eelgrassgate.jobs import packing
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import kv
 from eelgrassgate.service import http as service_http
@@ -450,6 +452,16 @@
                     # Socket buffers hold what was not read.
                     self.assertLess(server.endless_bytes, limit + 16_000_000)
 
+    def test_a_size_in_the_header_of_a_chunk_is_allocated(self) -> None:
+        raw = bytes(packing.MAX_RAW_BYTES + 1)
+        for has_size in (True, False):
+            with self.subTest(has_size=has_size):
+                data = zstandard.ZstdCompressor(
+                    write_content_size=has_size
+                ).compress(raw)
+                with self.assertRaises(zstandard.ZstdError):
+                    packing.decompress(data)
+
     def test_event_buffer_grows_without_bound(self) -> None:
         splitter = events.Splitter()
         with self.assertRaises(events.EventTooLargeError):
