Use no connection again that holds bytes of an earlier exchange

What callers could see: a second copy of a response, sent right behind it, was read as the response to the next request on its connection.

Cause: an idle connection is used again if its socket has nothing to read. Bytes that were already received and not yet taken by the reader aren't in the socket. The parser had seen none of them if the response ended where a read did, at 65,536 bytes; since heads are read in smaller pieces, also at 8,192.

Such a connection now counts as readable. The test failed before with '1 != 2' connections: at 65,536 bytes on, at 8,192 on the code before this change.

--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -93,6 +93,8 @@
     The first two make an idle connection unusable; a listener has connections
     to accept.
     """
+    if isinstance(opened, streams.Stream) and opened.has_received():
+        return True
     raw: Any = opened.extra(abc.SocketAttribute.raw_socket)
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
--- a/eelgrassgate/http1/streams.py
+++ b/eelgrassgate/http1/streams.py
@@ -86,6 +86,10 @@
     def _raw_socket(self) -> socket.socket:
         return cast(socket.socket, self._transport.get_extra_info("socket"))
 
+    def has_received(self) -> bool:
+        """Return whether there is data that was not taken."""
+        return bool(self._protocol.received)
+
     async def receive(self, max_bytes: int = PIECE_BYTES) -> bytes:
         """Return received data.
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -49,6 +49,30 @@
                     await pool.close()
             tasks.cancel_scope.cancel()
 
+    async def test_bytes_after_a_response_are_read_as_the_next_one(
+        self,
+    ) -> None:
+        copy = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
+        for size in (upstream.HEAD_READ_SIZE_BYTES, upstream.READ_SIZE_BYTES):
+            # The length of the head doesn't depend on that of the body.
+            length = size - len(head % size)
+            response = head % length + bytes(length)
+            self.assertEqual(len(response), size)
+            one = endpoint.create_endpoint("e1")
+            one.behavior = endpoint.Behavior(
+                endless=(response + copy, b""), endless_delay_s=0.01
+            )
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(one.serve)
+                with self.subTest(size=size), anyio.fail_after(TIMEOUT_S):
+                    pool = upstream.create_pool(1.0)
+                    for name in ("a", "b"):
+                        await send(pool, one.address, name)
+                    self.assertEqual(pool.opened, 2)
+                    await pool.close()
+                tasks.cancel_scope.cancel()
+
     async def test_a_connection_remembers_a_bounded_number_of_requests(
         self,
     ) -> None:
