--- a/eelgrassgate/instances/endpointslice.py
+++ b/eelgrassgate/instances/endpointslice.py
@@ -15,12 +15,15 @@
 from returns import result
 
 from eelgrassgate import decoding
+from eelgrassgate import http_clients
 from eelgrassgate import response_limits
 from eelgrassgate.instances import base
 from eelgrassgate.instances import slices
 
 # Bound on one event of a watch, which holds one slice.
 MAX_EVENT_BYTES: Final = 16_777_216
+# Bound on the list of all slices of a service.
+MAX_LIST_BYTES: Final = 67_108_864
 CALL_TIMEOUT_S: Final = 3.0
 CONNECT_TIMEOUT_S: Final = 1.0
 WATCH_DURATION_S: Final = 10
@@ -45,11 +48,12 @@
         """Create the HTTP client; see `create_endpointslice_list`."""
         self._path = slices.get_path(namespace)
         self._watch_duration_s = watch_duration_s
-        self._client = httpx.AsyncClient(
-            base_url=url,
-            trust_env=False,
+        is_encrypted = httpx.URL(url).scheme == "https"
+        self._client = http_clients.create_client(
+            url,
             timeout=httpx.Timeout(CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
             limits=httpx.Limits(max_keepalive_connections=0),
+            tls=httpx.create_ssl_context() if is_encrypted else None,
         )
 
     async def read(
@@ -106,13 +110,14 @@
     ) -> result.Result[slices.SliceList, base.ListError]:
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
-                response = await self._client.get(
-                    self._path, params=_build_params(service)
-                )
-            response.raise_for_status()
-            return result.Success(
-                decoding.decode(_LIST_DECODER, response.content)
-            )
+                async with self._client.stream(
+                    "GET", self._path, params=_build_params(service)
+                ) as response:
+                    response.raise_for_status()
+                    body = await response_limits.read_body(
+                        response, MAX_LIST_BYTES
+                    )
+            return result.Success(decoding.decode(_LIST_DECODER, body))
         except (TimeoutError, httpx.HTTPError, msgspec.DecodeError) as error:
             return result.Failure(base.ListError(_describe(error)))
 
@@ -134,7 +139,7 @@
             timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
         ) as response:
             response.raise_for_status()
-            response_limits.limit_lines(response, MAX_EVENT_BYTES)
+            response_limits.limit_parts(response, max_bytes=MAX_EVENT_BYTES)
             lines = response.aiter_lines()
             while True:
                 try:
--- a/eelgrassgate/store/etcd.py
+++ b/eelgrassgate/store/etcd.py
@@ -22,12 +22,15 @@
 import msgspec
 from returns import result
 
+from eelgrassgate import http_clients
 from eelgrassgate import response_limits
 from eelgrassgate.store import base
 from eelgrassgate.store import etcd_messages
 
 # Bound on one response of a watch, which holds several changes.
 MAX_EVENT_BYTES: Final = 16_777_216
+# Bound on any other response, such as all records of the configuration.
+MAX_RESPONSE_BYTES: Final = 67_108_864
 CALL_TIMEOUT_S: Final = 3.0
 CONNECT_TIMEOUT_S: Final = 1.0
 WATCH_TIMEOUT_S: Final = 6.0
@@ -57,7 +60,7 @@
         self._url = url
         self._call_timeout_s = call_timeout_s
         self._watch_timeout_s = watch_timeout_s
-        self._tls: ssl.SSLContext | bool = False
+        self._tls: ssl.SSLContext | None = None
         if httpx.URL(url).scheme == "https":
             self._tls = httpx.create_ssl_context()
         self._pool = _Pool(_create_client(url, call_timeout_s, self._tls))
@@ -187,7 +190,7 @@
                 etcd_messages.WATCH_PATH,
                 content=msgspec.json.encode(request),
             ) as response:
-                response_limits.limit_lines(response, MAX_EVENT_BYTES)
+                response_limits.limit_parts(response, max_bytes=MAX_EVENT_BYTES)
                 lines = response.aiter_lines()
                 while True:
                     with anyio.fail_after(self._watch_timeout_s):
@@ -231,16 +234,18 @@
         pool.calls += 1
         try:
             with anyio.fail_after(self._call_timeout_s):
-                response = await pool.client.post(
-                    path, content=msgspec.json.encode(request)
-                )
-            if response.status_code in allowed:
+                async with pool.client.stream(
+                    "POST", path, content=msgspec.json.encode(request)
+                ) as response:
+                    body = await response_limits.read_body(
+                        response, MAX_RESPONSE_BYTES
+                    )
+            status = response.status_code
+            if status in allowed:
                 return result.Success(msgspec.json.decode(b"{}", type=kind))
-            if response.status_code >= MIN_ERROR_STATUS:
-                return _parse_error(response)
-            return result.Success(
-                msgspec.json.decode(response.content, type=kind)
-            )
+            if status >= MIN_ERROR_STATUS:
+                return _parse_error(status, body)
+            return result.Success(msgspec.json.decode(body, type=kind))
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             return _fail(base.Fault.NOT_DONE, _describe(error))
         except httpx.PoolTimeout as error:
@@ -271,17 +276,16 @@
 def _create_client(
     url: str,
     read_timeout_s: float,
-    tls: ssl.SSLContext | bool,
+    tls: ssl.SSLContext | None,
     max_idle: int | None = None,
 ) -> httpx.AsyncClient:
     """Create a client with at most `max_idle` idle connections.
 
     If `max_idle` is 0, as for watches, open connections are not limited.
     """
-    return httpx.AsyncClient(
-        base_url=url,
-        verify=tls,
-        trust_env=False,
+    return http_clients.create_client(
+        url,
+        tls=tls,
         timeout=httpx.Timeout(read_timeout_s, connect=CONNECT_TIMEOUT_S),
         limits=httpx.Limits(
             max_connections=None if max_idle == 0 else MAX_CONNECTIONS,
@@ -381,16 +385,16 @@
 
 
 def _parse_error(
-    response: httpx.Response,
+    status: int, body: bytes
 ) -> result.Result[_T, base.StoreError]:
     """Decode an error; a status of 4xx means that there was no effect."""
-    message = f"status {response.status_code}"
+    message = f"status {status}"
     with contextlib.suppress(msgspec.DecodeError):
-        error = msgspec.json.decode(response.content, type=etcd_messages.Error)
+        error = msgspec.json.decode(body, type=etcd_messages.Error)
         message = error.message or message
-    if response.status_code >= MIN_SERVER_ERROR_STATUS:
+    if status >= MIN_SERVER_ERROR_STATUS:
         return _fail(base.Fault.UNKNOWN, message)
-    is_rejected = response.status_code == BAD_REQUEST_STATUS
+    is_rejected = status == BAD_REQUEST_STATUS
     return _fail(base.Fault.NOT_DONE, message, is_rejected=is_rejected)
 
 
