Follow a split of traffic with items, and skip services without endpoints

What callers saw: items of a job whose route is split between two services ran at the first one only. Requests on such a route were refused with 503 in the share of the empty service.

Cause: the choice of a service was made in two places; the one for items took the first service. The class: two copies of a decision.

One decision, gateway/splits.py, serves both. A service without endpoints is left out while another of the split has some. For an item the choice depends on its id, so it stays the same while weights and available services do, and only as many items move as weights do. Services with no weight still get nothing.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -22,6 +22,7 @@
 from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.gateway import splits
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
@@ -383,18 +384,25 @@
             if len(self._runs) >= MAX_RUNNING_ITEMS:
                 return
             route = self._find_route(owned, progress)
-            if route is None or route.targets[0].service in full:
+            if route is None:
+                continue
+            service = splits.choose_service(
+                route,
+                splits.compute_draw(progress.item.id),
+                self._placement.has_endpoints,
+            )
+            if service in full:
                 continue
             endpoint = scheduling.choose_endpoint(
                 self._placement,
                 self._loads,
-                route.targets[0].service,
+                service,
                 can_use=can_use,
                 avoid=progress.failed_endpoints,
             )
             if endpoint is None:
                 if not progress.failed_endpoints:
-                    full.add(route.targets[0].service)
+                    full.add(service)
                 continue
             self._next_start_by_endpoint[endpoint.id] = now + (
                 scheduling.PREFERRED_START_INTERVAL_S
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import shutdown as shutdown_lib
+from eelgrassgate.gateway import splits
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
@@ -174,7 +175,9 @@
         progress: _Progress,
     ) -> None:
         """Try endpoints until one responds or no retry is allowed."""
-        service = _choose_service(route)
+        service = splits.choose_service(
+            route, random.random(), self._placement.has_endpoints
+        )
         excluded: set[str] = set()
         begun_at: set[str] = set()
         refused_by: set[str] = set()
@@ -693,16 +696,6 @@
     return default
 
 
-def _choose_service(route: catalog.Route) -> str:
-    """Choose one of a route's services at random by weight."""
-    if len(route.targets) == 1:
-        return route.targets[0].service
-    weights = [target.weight for target in route.targets]
-    if not any(weights):
-        return route.targets[0].service
-    return random.choices(route.targets, weights)[0].service
-
-
 def create_forwarder(
     dialect: calls.Dialect,
     pool: upstream.Pool,
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -127,6 +127,10 @@
         """Return the endpoints of a service that accept new requests."""
         return self._endpoints_by_service.get(service, [])
 
+    def has_endpoints(self, service: str) -> bool:
+        """Return whether a service has endpoints that accept requests."""
+        return bool(self.get_endpoints(service))
+
     def is_in_backoff(self, endpoint: str) -> bool:
         """Return whether an endpoint is in backoff or unresponsive."""
         now = self._clock()
