Run items at the service of the route of their job

What callers saw: an item whose path lies under no route became a dead letter at once, though its job was accepted and its route was in force; one whose path lies under another route ran, or waited, at that route's service.

Cause: the route was looked up by the path of the item, and the path of its job was stored but not used. The class: a decision by what resembles the right input.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -478,7 +478,7 @@
     def _find_route(
         self, owned: ownership.OwnedJob, progress: items.Progress
     ) -> catalog.Route | None:
-        """Return an item's route; else make the item a dead letter.
+        """Return the route of an item's job; else make the item a dead letter.
 
         Returns None without doing so while this process's configuration is
         older than the one by which the job was accepted.
@@ -486,8 +486,7 @@
         current = self._read_catalog()
         if not current.version or (current.version < owned.job.config_version):
             return None
-        path = progress.item.path.partition("?")[0]
-        route = current.find_route(owned.job.host, path)
+        route = current.find_route(owned.job.host, owned.job.path)
         if route is None:
             owned.waiting.remove(progress)
             owned.record_result(progress, records.DEAD_LETTER, "no route")
