--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -22,6 +22,7 @@
 from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.gateway import splits
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
@@ -383,18 +384,25 @@
             if len(self._runs) >= MAX_RUNNING_ITEMS:
                 return
             route = self._find_route(owned, progress)
-            if route is None or route.targets[0].service in full:
+            if route is None:
+                continue
+            service = splits.choose_service(
+                route,
+                splits.compute_draw(progress.item.id),
+                self._placement.has_endpoints,
+            )
+            if service in full:
                 continue
             endpoint = scheduling.choose_endpoint(
                 self._placement,
                 self._loads,
-                route.targets[0].service,
+                service,
                 can_use=can_use,
                 avoid=progress.failed_endpoints,
             )
             if endpoint is None:
                 if not progress.failed_endpoints:
-                    full.add(route.targets[0].service)
+                    full.add(service)
                 continue
             self._next_start_by_endpoint[endpoint.id] = now + (
                 scheduling.PREFERRED_START_INTERVAL_S
@@ -470,7 +478,7 @@
     def _find_route(
         self, owned: ownership.OwnedJob, progress: items.Progress
     ) -> catalog.Route | None:
-        """Return an item's route; else make the item a dead letter.
+        """Return the route of an item's job; else make the item a dead letter.
 
         Returns None without doing so while this process's configuration is
         older than the one by which the job was accepted.
@@ -478,8 +486,7 @@
         current = self._read_catalog()
         if not current.version or (current.version < owned.job.config_version):
             return None
-        path = progress.item.path.partition("?")[0]
-        route = current.find_route(owned.job.host, path)
+        route = current.find_route(owned.job.host, owned.job.path)
         if route is None:
             owned.waiting.remove(progress)
             owned.record_result(progress, records.DEAD_LETTER, "no route")
