Charge batch jobs to the memory budget while they are accepted

Callers saw: 40 jobs of 3.8 MB at once took a gateway to 832 MB, and one with 300 MB ends with all that it holds (FAULT, LOST).

Cause: something that others choose grows in a process without a bound of that process. Each submission was parsed whole, with the text and the bytes of each item, encoded twice into values, then as base64 bytes, as text and as the store's request, all of them held until the reply. Any number did so at once, and the event loop stood still for tens of milliseconds at each.

Now items are decoded one by one from the body and encoded at once into the values of the store, with a turn for other requests after each 256 kB; the request is written from the values without a copy of its own. What a submission holds beyond its body is charged before it is held. Large ones wait in line, one of them always has room in a reserve, as bodies of those that wait may take the rest; small ones pass. After half of the caller's time a job is refused by 503, with nothing written, or 504 if an earlier write of it may still take effect. A job of more than 200 items is invalid before the rest is parsed: a body of 4 MB with two million empty items took 113 MB.

A body whose base64 text has a wrong length is invalid now; it used to be taken if one surplus character came before the padding.

--- /dev/null
+++ b/eelgrassgate/batches/admission.py
@@ -0,0 +1,146 @@
+"""Decides when a submitted job may take the memory that accepting it needs."""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Final
+
+import anyio
+import msgspec
+
+from eelgrassgate import deadlines
+from eelgrassgate import memory_budget
+
+# Bytes held for each byte of a submission while it is accepted, besides its
+# body: the encoded items, and the store's request twice, as it is built and as
+# it is sent.
+WORKING_FACTOR: Final = 3
+# Bytes that a decoded header takes besides its text.
+FIELD_BYTES: Final = 150
+# Working memory of a submission of the largest size that callers may send.
+MAX_RESERVE_BYTES: Final = 4_194_304 * WORKING_FACTOR + 500_000
+# Bound on the reserve as a share of the budget.
+MAX_RESERVE_SHARE: Final = 0.1
+# Share of the time left that a job may wait; the rest is for writing it, or for
+# its caller to try elsewhere.
+MAX_WAIT_SHARE: Final = 0.5
+
+
+class _Grant(msgspec.Struct):
+    """What a large submission has been granted.
+
+    Attributes:
+        account: The submission's account.
+        size: Its working memory in bytes.
+        has_reserve: Whether it uses the reserve.
+    """
+
+    account: memory_budget.Account
+    size: int
+    has_reserve: bool = False
+
+    def is_granted(self) -> bool:
+        """Return whether the submission may be accepted."""
+        return self.has_reserve or self.account.held_bytes >= self.size
+
+
+class Admission:
+    """Admits submissions while the process has memory for them.
+
+    Large ones are admitted in order of arrival. A part of the budget is set
+    aside for one of them, as the bodies of those that wait may take all the
+    rest. Small ones don't wait for large ones.
+
+    Attributes:
+        encoding: Held while a large submission is encoded, so that other
+            requests are served between its steps.
+    """
+
+    def __init__(self, budget: memory_budget.Budget) -> None:
+        """Set the reserve aside; see `create_admission`."""
+        self.encoding = anyio.Lock()
+        self._budget = budget
+        reserve = budget.open(memory_budget.Kind.JOB)
+        reserve.try_grow(
+            min(MAX_RESERVE_BYTES, int(budget.limit_bytes * MAX_RESERVE_SHARE))
+        )
+        self._reserve_bytes = reserve.held_bytes
+        self._is_reserve_used = False
+        self._reserve_released = anyio.Event()
+        self._first_in_line = anyio.Lock()
+
+    @contextlib.asynccontextmanager
+    async def admit(
+        self, workspace: str, size: int, deadline: float
+    ) -> AsyncIterator[bool]:
+        """Hold memory for a submission; yields whether there is enough.
+
+        Args:
+            workspace: The workspace that submits the job.
+            size: Working memory of the submission in bytes.
+            deadline: Monotonic time until which the caller waits.
+        """
+        wait_s = deadlines.compute_remaining(deadline) * MAX_WAIT_SHARE
+        with self._budget.open(memory_budget.Kind.JOB, workspace) as account:
+            if not is_large(size):
+                yield await account.grow(size, deadlines.after(wait_s))
+                return
+            grant = _Grant(account, size)
+            try:
+                with anyio.move_on_after(wait_s):
+                    async with self._first_in_line:
+                        await self._acquire(grant, deadlines.after(wait_s))
+                yield grant.is_granted()
+            finally:
+                if grant.has_reserve:
+                    self._release_reserve()
+
+    async def _acquire(self, grant: _Grant, deadline: float) -> None:
+        """Take the reserve, or charge the budget once it has room."""
+        if self._try_take_reserve(grant):
+            return
+
+        async def take_reserve() -> None:
+            while not self._try_take_reserve(grant):
+                await self._reserve_released.wait()
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            if grant.size <= self._reserve_bytes:
+                tasks.start_soon(take_reserve)
+            await grant.account.grow(grant.size, deadline)
+            tasks.cancel_scope.cancel()
+
+    def _try_take_reserve(self, grant: _Grant) -> bool:
+        if self._is_reserve_used or grant.size > self._reserve_bytes:
+            return False
+        self._is_reserve_used = True
+        grant.has_reserve = True
+        return True
+
+    def _release_reserve(self) -> None:
+        self._is_reserve_used = False
+        released, self._reserve_released = (
+            self._reserve_released,
+            anyio.Event(),
+        )
+        released.set()
+
+
+def is_large(size: int) -> bool:
+    """Return whether a submission of this working memory waits in line."""
+    return size > memory_budget.SMALL_BYTES
+
+
+def measure_submission(body: bytes) -> int:
+    """Return the working memory of a submission in bytes."""
+    # Each header has a colon, and the base64 text of bodies has none.
+    return WORKING_FACTOR * len(body) + FIELD_BYTES * body.count(b":")
+
+
+def create_admission(budget: memory_budget.Budget) -> Admission:
+    """Create the decision for one process.
+
+    Args:
+        budget: The memory budget of the process.
+    """
+    return Admission(budget)
--- a/eelgrassgate/batches/stored_items.py
+++ b/eelgrassgate/batches/stored_items.py
@@ -27,24 +27,47 @@
 _BODY_DECODER: Final = msgspec.msgpack.Decoder(bytes)
 
 
-def split_items(items: tuple[calls.BatchItem, ...]) -> list[bytes]:
-    """Encode items, in order, into values of `records.MAX_PART_BYTES`."""
-    parts: list[bytes] = []
-    group: list[calls.BatchItem] = []
-    size = 0
-    for item in items:
-        item_size = len(msgspec.msgpack.encode(item))
-        if group and size + item_size > records.MAX_PART_BYTES:
-            parts.append(msgspec.msgpack.encode(group))
-            group, size = [], 0
-        if item_size > records.MAX_PART_BYTES:
-            parts.extend(_split_large_item(item))
-            continue
-        group.append(item)
-        size += item_size
-    if group:
-        parts.append(msgspec.msgpack.encode(group))
-    return parts
+class Splitter:
+    """Encodes items, in order, into values of `records.MAX_PART_BYTES`.
+
+    Attributes:
+        parts: The values, without the items added last; see `finish`.
+        total: Number of items.
+        size: Number of bytes of all items.
+    """
+
+    def __init__(self) -> None:
+        """Create a splitter without items; see `create_splitter`."""
+        self.parts: list[bytes] = []
+        self.total = 0
+        self.size = 0
+        self._group: list[msgspec.Raw] = []
+        self._group_bytes = 0
+
+    def add(self, item: calls.BatchItem) -> None:
+        """Add an item."""
+        encoded = msgspec.msgpack.encode(item)
+        item_bytes = len(encoded)
+        self.total += 1
+        self.size += item_bytes
+        if self._group_bytes + item_bytes > records.MAX_PART_BYTES:
+            self._end_group()
+        if item_bytes > records.MAX_PART_BYTES:
+            del encoded
+            self.parts.extend(_split_large_item(item))
+            return
+        self._group.append(msgspec.Raw(encoded))
+        self._group_bytes += item_bytes
+
+    def finish(self) -> list[bytes]:
+        """Return all values."""
+        self._end_group()
+        return self.parts
+
+    def _end_group(self) -> None:
+        if self._group:
+            self.parts.append(msgspec.msgpack.encode(self._group))
+        self._group, self._group_bytes = [], 0
 
 
 def _split_large_item(item: calls.BatchItem) -> list[bytes]:
@@ -92,3 +115,8 @@
             body += decoding.decode(_BODY_DECODER, value)
             part += 1
         yield msgspec.structs.replace(found.item, body=body)
+
+
+def create_splitter() -> Splitter:
+    """Create a splitter without items."""
+    return Splitter()
--- a/eelgrassgate/batches/submission.py
+++ b/eelgrassgate/batches/submission.py
@@ -59,7 +59,7 @@
     call: calls.Call,
     route: catalog.Route,
     workspace: str,
-    items: tuple[calls.BatchItem, ...],
+    items: stored_items.Splitter,
     config_version: int,
 ) -> SubmitResult:
     """Store a job and open it; repeating a submission is also `DONE`.
@@ -73,13 +73,13 @@
         config_version: Version of the configuration that has the route.
     """
     now = time.time()
-    parts = stored_items.split_items(items)
+    parts = items.finish()
     job = records.Job(
         call.id,
         workspace,
         call.host,
         call.path,
-        len(items),
+        items.total,
         len(parts),
         now + route.completion_s,
         now + route.retention_s,
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -1,16 +1,21 @@
 """Batch job API: submit a job, read results or an item, cancel a job."""
 
+from collections.abc import Iterator
+import contextlib
 from typing import Final
 from typing import Protocol
 
+from anyio import lowlevel
 import msgspec
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import intake as intake_lib
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
+from eelgrassgate.batches import stored_items
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
@@ -28,8 +33,11 @@
 GATEWAY_TIMEOUT: Final = 504
 # Upper bound for long polling of results.
 MAX_WAIT_S: Final = 1.0
-# Sent as the retry delay while the store is unreachable.
+# Sent as the retry delay while the store is unreachable or memory is short.
 RETRY_AFTER_S: Final = 0.5
+# Bytes of items that are encoded before other requests get their turn; about a
+# millisecond.
+STEP_BYTES: Final = 262_144
 
 
 class ReadResults(msgspec.Struct, frozen=True):
@@ -55,6 +63,10 @@
 JobCall = ReadResults | ReadItem | CancelJob
 
 
+class InvalidItemsError(Exception):
+    """The items of a submitted job are malformed."""
+
+
 class BatchDialect(Protocol):
     """Wire format of the batch job API."""
 
@@ -62,8 +74,12 @@
         """Parse a request about an existing job; None for other requests."""
         ...
 
-    def read_items(self, body: bytes) -> tuple[calls.BatchItem, ...] | None:
-        """Parse the items of a job; returns None if they are malformed."""
+    def read_items(self, body: bytes) -> Iterator[calls.BatchItem]:
+        """Parse the items of a job, each when it is asked for.
+
+        Raises:
+            InvalidItemsError: They are malformed.
+        """
         ...
 
     def write_listing(self, listing: owner_api.Listing) -> bytes:
@@ -75,6 +91,20 @@
 _BINARY_HEADERS: Final = ((b"content-type", b"application/octet-stream"),)
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """A response without a body.
+
+    Attributes:
+        status: The status.
+        headers: The headers.
+        accepted: The job if it has been accepted.
+    """
+
+    status: int
+    headers: upstream.Headers = ()
+    accepted: submission.SubmitResult | None = None
+
+
 class BatchCalls:
     """Handles requests to the batch job API."""
 
@@ -85,8 +115,10 @@
         reader: results.Reader,
         dialect: calls.Dialect,
         batch_dialect: BatchDialect,
+        admission: admission_lib.Admission,
     ) -> None:
         """Initialize; see `create_batch_calls`."""
+        self._admission = admission
         self._store = store
         self._intake = intake
         self._reader = reader
@@ -106,32 +138,42 @@
         responder: downstream.Responder,
     ) -> None:
         """Accept a job; replies once all of it is in the store."""
-        items = self._batch_dialect.read_items(call.body)
-        has_valid_ids = records.is_storable_id(call.id) and all(
-            records.is_storable_item_id(item.id) for item in items or ()
-        )
-        if not items or not has_valid_ids:
-            await responder.reply(BAD_REQUEST)
-            return
+        size = admission_lib.measure_submission(call.body)
+        async with self._admission.admit(
+            workspace, size, call.deadline
+        ) as is_admitted:
+            if is_admitted:
+                answer = await self._write(
+                    call, route, workspace, config_version, size
+                )
+            else:
+                answer = self._refuse(call, "memory", RETRY_AFTER_S)
+        await responder.reply(answer.status, answer.headers)
+        if answer.accepted is not None and answer.accepted.open_revision:
+            await self._reader.announce(
+                answer.accepted.job, answer.accepted.open_revision
+            )
+
+    async def _write(
+        self,
+        call: calls.Call,
+        route: catalog.Route,
+        workspace: str,
+        config_version: int,
+        size: int,
+    ) -> _Answer:
+        """Write a job to the store."""
+        splitter = await self._encode_items(call, size)
+        if splitter is None:
+            return _Answer(BAD_REQUEST)
         retry_delay_s = await self._intake.check(call.deadline)
         # After the wait, during which another copy of the job may be written.
         is_unconfirmed = self._intake.is_unconfirmed(call.id)
         if retry_delay_s is not None:
-            logs.log_message(
-                "refused",
-                id=call.id,
-                reason="store lost",
-                status=GATEWAY_TIMEOUT if is_unconfirmed else UNAVAILABLE,
-                retry_ms=deadlines.to_ms(retry_delay_s),
-            )
-            if is_unconfirmed:
-                await responder.reply(GATEWAY_TIMEOUT)
-            else:
-                await self._reply_unavailable(responder, retry_delay_s)
-            return
+            return self._refuse(call, "store lost", retry_delay_s)
         self._intake.record_write(call.id)
         accepted = await submission.submit(
-            self._store, call, route, workspace, items, config_version
+            self._store, call, route, workspace, splitter, config_version
         )
         outcome = accepted.outcome
         if outcome is submission.Outcome.NOT_DONE and is_unconfirmed:
@@ -142,13 +184,40 @@
         logs.log_message(
             "job submitted",
             id=call.id,
-            items=len(items),
+            items=splitter.total,
             bytes=len(call.body),
             outcome=outcome.value,
         )
-        await self._reply_outcome(responder, outcome, ACCEPTED)
-        if accepted.open_revision:
-            await self._reader.announce(accepted.job, accepted.open_revision)
+        return self._answer_outcome(outcome, ACCEPTED, accepted)
+
+    async def _encode_items(
+        self, call: calls.Call, size: int
+    ) -> stored_items.Splitter | None:
+        """Encode a job's items; None if the job is invalid.
+
+        Other requests get their turn after each step of a large job.
+        """
+        splitter = stored_items.create_splitter()
+        if not records.is_storable_id(call.id):
+            return None
+        async with (
+            self._admission.encoding
+            if admission_lib.is_large(size)
+            else contextlib.nullcontext()
+        ):
+            step_end = STEP_BYTES
+            try:
+                for item in self._batch_dialect.read_items(call.body):
+                    if not records.is_storable_item_id(item.id):
+                        return None
+                    splitter.add(item)
+                    if splitter.size >= step_end:
+                        step_end = splitter.size + STEP_BYTES
+                        await lowlevel.checkpoint()
+            except InvalidItemsError as error:
+                logs.log_message("job:invalid", reason=str(error))
+                return None
+        return splitter if splitter.total else None
 
     async def handle_job_call(
         self,
@@ -180,12 +249,14 @@
                     job=job.id,
                     outcome=outcome,
                 )
-                await self._reply_outcome(responder, outcome, OK)
+                answer = self._answer_outcome(outcome, OK)
+                await responder.reply(answer.status, answer.headers)
         except results.UnavailableError as error:
             logs.log_message(
                 "job call failed", job=job_call.job, reason=str(error)
             )
-            await self._reply_unavailable(responder)
+            answer = self._answer_unavailable()
+            await responder.reply(answer.status, answer.headers)
 
     async def _reply_item(
         self, job: records.Job, item: str, responder: downstream.Responder
@@ -196,32 +267,50 @@
         else:
             await responder.reply(OK, _BINARY_HEADERS, found)
 
-    async def _reply_outcome(
+    def _answer_outcome(
         self,
-        responder: downstream.Responder,
         outcome: submission.Outcome,
         done_status: int,
-    ) -> None:
+        accepted: submission.SubmitResult | None = None,
+    ) -> _Answer:
         if outcome is submission.Outcome.DONE:
-            await responder.reply(done_status)
-        elif outcome is submission.Outcome.CONFLICT:
-            await responder.reply(CONFLICT)
-        elif outcome is submission.Outcome.REJECTED:
-            await responder.reply(CONTENT_TOO_LARGE)
-        elif outcome is submission.Outcome.NOT_DONE:
-            await self._reply_unavailable(responder)
-        else:
-            await responder.reply(GATEWAY_TIMEOUT)
+            return _Answer(done_status, (), accepted)
+        if outcome is submission.Outcome.CONFLICT:
+            return _Answer(CONFLICT)
+        if outcome is submission.Outcome.REJECTED:
+            return _Answer(CONTENT_TOO_LARGE)
+        if outcome is submission.Outcome.NOT_DONE:
+            return self._answer_unavailable()
+        return _Answer(GATEWAY_TIMEOUT)
+
+    def _refuse(
+        self, call: calls.Call, reason: str, retry_delay_s: float
+    ) -> _Answer:
+        """Refuse a job that this request has not written.
+
+        An earlier write of the same job may still take effect.
+        """
+        is_unconfirmed = self._intake.is_unconfirmed(call.id)
+        status = GATEWAY_TIMEOUT if is_unconfirmed else UNAVAILABLE
+        logs.log_message(
+            "refused",
+            id=call.id,
+            reason=reason,
+            status=status,
+            bytes=len(call.body),
+            retry_ms=deadlines.to_ms(retry_delay_s),
+        )
+        if is_unconfirmed:
+            return _Answer(GATEWAY_TIMEOUT)
+        return self._answer_unavailable(retry_delay_s)
 
-    async def _reply_unavailable(
-        self,
-        responder: downstream.Responder,
-        retry_delay_s: float = RETRY_AFTER_S,
-    ) -> None:
+    def _answer_unavailable(
+        self, retry_delay_s: float = RETRY_AFTER_S
+    ) -> _Answer:
         headers: upstream.Headers = self._dialect.write_refusal_headers(
             retry_delay_s
         )
-        await responder.reply(UNAVAILABLE, headers)
+        return _Answer(UNAVAILABLE, headers)
 
 
 def create_batch_calls(
@@ -230,6 +319,7 @@
     reader: results.Reader,
     dialect: calls.Dialect,
     batch_dialect: BatchDialect,
+    admission: admission_lib.Admission,
 ) -> BatchCalls:
     """Create a handler for the batch job API.
 
@@ -239,5 +329,6 @@
         reader: Reads jobs and results.
         dialect: Wire format of requests and responses.
         batch_dialect: Wire format of the batch job API.
+        admission: Decides when there is memory to accept a job.
     """
-    return BatchCalls(store, intake, reader, dialect, batch_dialect)
+    return BatchCalls(store, intake, reader, dialect, batch_dialect, admission)
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -5,6 +5,7 @@
 import anyio
 
 from eelgrassgate import logs
+from eelgrassgate.batches import admission
 from eelgrassgate.batches import intake
 from eelgrassgate.batches import results
 from eelgrassgate.gateway import batch_calls
@@ -59,6 +60,7 @@
                 reader,
                 adapters.dialect,
                 adapters.batch_dialect,
+                admission.create_admission(node.budget),
             ),
             node.metrics,
             self._shutdown,
--- a/eelgrassgate/platform/batch_calls.py
+++ b/eelgrassgate/platform/batch_calls.py
@@ -1,14 +1,12 @@
 """Requests and responses of batch jobs in the users' protocol."""
 
-import base64
-import binascii
+from collections.abc import Iterator
 from typing import Any
 from typing import Final
 
 import msgspec
 
 from eelgrassgate import decoding
-from eelgrassgate import logs
 from eelgrassgate.batches import owner_api
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
@@ -20,20 +18,33 @@
 
 
 class _Item(msgspec.Struct, frozen=True):
-    """A submitted item; `body` is base64-encoded."""
+    """A submitted item; `body` is base64-encoded in JSON."""
 
     id: str
     path: str
     headers: dict[str, str] = {}
-    body: str = ""
+    body: bytes = b""
     tokens: int = 0
 
 
-class _Submission(msgspec.Struct, frozen=True):
-    items: list[_Item]
+# Keeps up to `MAX_ITEMS` items as they were sent, and is invalid with more.
+# Unlike a list, it is bounded before it is complete.
+_Items: Final = msgspec.defstruct(
+    "_Items",
+    [
+        (f"item_{number}", msgspec.Raw | msgspec.UnsetType, msgspec.UNSET)
+        for number in range(MAX_ITEMS)
+    ],
+    array_like=True,
+    forbid_unknown_fields=True,
+    frozen=True,
+)
+_Submission: Final = msgspec.defstruct(
+    "_Submission", [("items", _Items)], frozen=True
+)
 
-
-_DECODER: Final = msgspec.json.Decoder(_Submission)
+_DECODER: Final = msgspec.json.Decoder[Any](_Submission)
+_ITEM_DECODER: Final = msgspec.json.Decoder(_Item)
 
 
 class PlatformBatchDialect:
@@ -56,25 +67,23 @@
             return batch_calls.ReadItem(job, query.get("id", ""))
         return None
 
-    def read_items(self, body: bytes) -> tuple[calls.BatchItem, ...] | None:
-        """Decode the items of a job; return None if they are invalid."""
+    def read_items(self, body: bytes) -> Iterator[calls.BatchItem]:
+        """Decode the items of a job, each when it is asked for.
+
+        Raises:
+            batch_calls.InvalidItemsError: They are invalid.
+        """
         try:
-            found = decoding.decode(_DECODER, body).items
-            if len(found) > MAX_ITEMS:
-                return None
-            return tuple(
-                calls.BatchItem(
-                    item.id,
-                    item.path,
-                    item.headers,
-                    base64.b64decode(item.body, validate=True),
-                    item.tokens,
+            items = decoding.decode(_DECODER, body).items
+            for raw in msgspec.structs.astuple(items):
+                if raw is msgspec.UNSET:
+                    return
+                item = decoding.decode(_ITEM_DECODER, raw)
+                yield calls.BatchItem(
+                    item.id, item.path, item.headers, item.body, item.tokens
                 )
-                for item in found
-            )
-        except (msgspec.MsgspecError, binascii.Error) as error:
-            logs.log_message("job:invalid", reason=str(error))
-            return None
+        except msgspec.MsgspecError as error:
+            raise batch_calls.InvalidItemsError(str(error)) from error
 
     def write_listing(self, listing: owner_api.Listing) -> bytes:
         """Encode a page of results."""
--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -1,6 +1,5 @@
 """Client of the platform's key-value service (HTTP/1.1 and JSON)."""
 
-import base64
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -637,10 +636,8 @@
         if isinstance(change, base.Delete):
             deletes.append(change.key)
             continue
-        put: dict[str, Any] = {
-            "key": change.key,
-            "value": base64.b64encode(change.value).decode(),
-        }
+        # The encoder writes bytes as base64 text, without a copy of its own.
+        put: dict[str, Any] = {"key": change.key, "value": change.value}
         if change.lease:
             put["lease"] = change.lease
         puts.append(put)
--- a/tests/site.py
+++ b/tests/site.py
@@ -11,6 +11,8 @@
 import h11
 
 from eelgrassgate import deadlines
+from eelgrassgate import memory_budget
+from eelgrassgate.batches import admission
 from eelgrassgate.batches import intake
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import catalog
@@ -184,6 +186,7 @@
     Attributes:
         submissions: The store that holds accepted jobs.
         intake: Decides whether that store can accept jobs.
+        admission: Decides when there is memory to accept a job.
     """
 
     def __init__(self) -> None:
@@ -191,6 +194,9 @@
         self.intake = intake.create_intake(
             self.submissions, contact.create_contact()
         )
+        self.admission = admission.create_admission(
+            memory_budget.create_budget(300 * memory_budget.BYTES_PER_MB)
+        )
 
     def read_job_call(self, call: Any) -> Any:
         return platform_batch_calls.PlatformBatchDialect().read_job_call(call)
@@ -203,6 +209,7 @@
             reader,
             dialect.PlatformDialect(),
             platform_batch_calls.PlatformBatchDialect(),
+            self.admission,
         ).submit(*args)
 
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -18,6 +18,7 @@
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
 from eelgrassgate.batches import scheduling
+from eelgrassgate.batches import stored_items
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
@@ -75,6 +76,15 @@
     )
 
 
+def split_items(
+    items: tuple[calls.BatchItem, ...],
+) -> stored_items.Splitter:
+    splitter = stored_items.create_splitter()
+    for item in items:
+        splitter.add(item)
+    return splitter
+
+
 async def submit(
     store: base.Store,
     count: int = 3,
@@ -88,7 +98,7 @@
         make_call(),
         msgspec.structs.replace(ROUTE, retention_s=retention_s),
         workspace,
-        make_items(count) if items is None else items,
+        split_items(make_items(count) if items is None else items),
         config_version,
     )
     return accepted.outcome
@@ -129,7 +139,7 @@
             make_call(),
             ROUTE,
             site_lib.WORKSPACE,
-            make_large_items(7),
+            split_items(make_large_items(7)),
             1,
         )
         self.assertEqual(accepted.outcome, submission.Outcome.DONE)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -666,7 +666,6 @@
 
 class DeepNestingTest(unittest.IsolatedAsyncioTestCase):
     def test_deep_values_are_invalid(self) -> None:
-        dialect = platform_batch_calls.PlatformBatchDialect()
         item = {"id": "i", "path": "/a/1"}
         for nested in (DEEP_ARRAY, DEEP_OBJECT):
             for name, decode, document in (
@@ -687,7 +686,11 @@
                     documents.decode_config,
                     test_platform.CONFIG,
                 ),
-                ("items of a job", dialect.read_items, {"items": [item]}),
+                (
+                    "items of a job",
+                    test_platform.read_items,
+                    {"items": [item]},
+                ),
             ):
                 with self.subTest(name, nested=nested[:2]):
                     self.assertIsNone(decode(add_member(document, nested)))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -295,9 +295,8 @@
             self.assertEqual(found, wanted, target)
 
     def test_items(self) -> None:
-        read = platform_batch_calls.PlatformBatchDialect().read_items
         item = {"id": "i", "path": "/a/1", "body": "cQ==", "tokens": 4}
-        found = read(msgspec.json.encode({"items": [item]}))
+        found = read_items(msgspec.json.encode({"items": [item]}))
         assert found is not None
         self.assertEqual(found[0].body, base64.b64decode("cQ=="))
         for body in (
@@ -306,7 +305,16 @@
             msgspec.json.encode({"items": [{**item, "body": "*"}]}),
             msgspec.json.encode({"items": [item] * 201}),
         ):
-            self.assertIsNone(read(body))
+            self.assertIsNone(read_items(body))
+
+
+def read_items(body: bytes) -> list[calls.BatchItem] | None:
+    """Return the items of a job; None if they are invalid."""
+    items = platform_batch_calls.PlatformBatchDialect().read_items(body)
+    try:
+        return list(items)
+    except batch_calls.InvalidItemsError:
+        return None
 
 
 async def put(store: base.Store, key: str, document: Any) -> None:
