Hold batch jobs within the memory budget of a batch process

Callers saw: a batch process that starts, or takes over, with more open jobs than its memory holds grows with them, and one with 300 MB ends with all its runs (FAULT); its successor loads the same jobs.

Cause: something that others choose grows in a process without a bound of that process. All items of all claimed jobs, with bodies and headers, their committed results and the bodies in requests on their way were held, whatever the memory; any number of values was read at once.

Now a job's items are charged when they are read. What has no room is kept without headers and body, and the stored value is read again when its items can start and there is room, the earliest due job first; bodies of items that can't start, or of jobs due later, give way. Reads of values take turns, for one of which memory is set aside, and the request of a running item is charged. While bodies are missing, other processes get the first chance at new jobs. Committed results are kept for readers only while there is room; gateways read the store else. Caches of results and values in gateways and of closed jobs are charged and give way to any other charge. A job whose items fit is read as before, each value once.

In a budget of 20 MB, six jobs of 2.8 MB complete, each item listed once, with at most 8 MB of bodies held.

--- a/eelgrassgate/batches/admission.py
+++ b/eelgrassgate/batches/admission.py
@@ -1,4 +1,4 @@
-"""Decides when a submitted job may take the memory that accepting it needs."""
+"""Turns at work that takes memory, one of which is always possible."""
 
 from collections.abc import AsyncIterator
 import contextlib
@@ -17,19 +17,19 @@
 # Bytes that a decoded header takes besides its text.
 FIELD_BYTES: Final = 150
 # Working memory of a submission of the largest size that callers may send.
-MAX_RESERVE_BYTES: Final = 4_194_304 * WORKING_FACTOR + 500_000
+SUBMISSION_RESERVE_BYTES: Final = 4_194_304 * WORKING_FACTOR + 500_000
 # Bound on the reserve as a share of the budget.
 MAX_RESERVE_SHARE: Final = 0.1
-# Share of the time left that a job may wait; the rest is for writing it, or for
-# its caller to try elsewhere.
+# Share of the time left that work may wait; the rest is for doing it, or for a
+# caller to try elsewhere.
 MAX_WAIT_SHARE: Final = 0.5
 
 
 class _Grant(msgspec.Struct):
-    """What a large submission has been granted.
+    """What large work has been granted.
 
     Attributes:
-        account: The submission's account.
+        account: The account of the work.
         size: Its working memory in bytes.
         has_reserve: Whether it uses the reserve.
     """
@@ -39,29 +39,31 @@
     has_reserve: bool = False
 
     def is_granted(self) -> bool:
-        """Return whether the submission may be accepted."""
+        """Return whether the work may begin."""
         return self.has_reserve or self.account.held_bytes >= self.size
 
 
 class Admission:
-    """Admits submissions while the process has memory for them.
+    """Admits work while the process has memory for it.
 
-    Large ones are admitted in order of arrival. A part of the budget is set
-    aside for one of them, as the bodies of those that wait may take all the
-    rest. Small ones don't wait for large ones.
-
-    Attributes:
-        encoding: Held while a large submission is encoded, so that other
-            requests are served between its steps.
+    Large work is admitted in order of arrival. A part of the budget is set
+    aside for one piece of it, as what others hold that wait may take all the
+    rest. Small work doesn't wait for large work.
     """
 
-    def __init__(self, budget: memory_budget.Budget) -> None:
+    def __init__(
+        self,
+        budget: memory_budget.Budget,
+        reserve_bytes: int,
+        *,
+        caches_give_way: bool,
+    ) -> None:
         """Set the reserve aside; see `create_admission`."""
-        self.encoding = anyio.Lock()
+        self._caches_give_way = caches_give_way
         self._budget = budget
         reserve = budget.open(memory_budget.Kind.JOB)
         reserve.try_grow(
-            min(MAX_RESERVE_BYTES, int(budget.limit_bytes * MAX_RESERVE_SHARE))
+            min(reserve_bytes, int(budget.limit_bytes * MAX_RESERVE_SHARE))
         )
         self._reserve_bytes = reserve.held_bytes
         self._is_reserve_used = False
@@ -72,12 +74,12 @@
     async def admit(
         self, workspace: str, size: int, deadline: float
     ) -> AsyncIterator[bool]:
-        """Hold memory for a submission; yields whether there is enough.
+        """Hold memory for work; yields whether there is enough.
 
         Args:
-            workspace: The workspace that submits the job.
-            size: Working memory of the submission in bytes.
-            deadline: Monotonic time until which the caller waits.
+            workspace: The workspace that it is done for.
+            size: Its working memory in bytes.
+            deadline: Monotonic time by which it has to be done.
         """
         wait_s = deadlines.compute_remaining(deadline) * MAX_WAIT_SHARE
         with self._budget.open(memory_budget.Kind.JOB, workspace) as account:
@@ -98,6 +100,9 @@
         """Take the reserve, or charge the budget once it has room."""
         if self._try_take_reserve(grant):
             return
+        if grant.account.try_keep(grant.size):
+            return
+        fits_reserve = grant.size <= self._reserve_bytes
 
         async def take_reserve() -> None:
             while not self._try_take_reserve(grant):
@@ -105,10 +110,11 @@
             tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
-            if grant.size <= self._reserve_bytes:
+            if fits_reserve:
                 tasks.start_soon(take_reserve)
-            await grant.account.grow(grant.size, deadline)
-            tasks.cancel_scope.cancel()
+            if self._caches_give_way or not fits_reserve:
+                await grant.account.grow(grant.size, deadline)
+                tasks.cancel_scope.cancel()
 
     def _try_take_reserve(self, grant: _Grant) -> bool:
         if self._is_reserve_used or grant.size > self._reserve_bytes:
@@ -127,7 +133,7 @@
 
 
 def is_large(size: int) -> bool:
-    """Return whether a submission of this working memory waits in line."""
+    """Return whether work that takes this memory waits in line."""
     return size > memory_budget.SMALL_BYTES
 
 
@@ -137,10 +143,18 @@
     return WORKING_FACTOR * len(body) + FIELD_BYTES * body.count(b":")
 
 
-def create_admission(budget: memory_budget.Budget) -> Admission:
-    """Create the decision for one process.
+def create_admission(
+    budget: memory_budget.Budget,
+    reserve_bytes: int,
+    *,
+    caches_give_way: bool = True,
+) -> Admission:
+    """Create the turns of one process.
 
     Args:
         budget: The memory budget of the process.
+        reserve_bytes: Working memory of the largest work.
+        caches_give_way: Whether caches give way for work that fits into the
+            reserve, instead of a wait for it.
     """
-    return Admission(budget)
+    return Admission(budget, reserve_bytes, caches_give_way=caches_give_way)
--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -60,6 +60,7 @@
             node.quarantine,
             node.discovery.get_catalog,
             node.metrics,
+            node.budget,
         )
         self._is_retiring = anyio.Event()
         self._retirement: discovery.Retirement | None = None
--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -64,6 +64,10 @@
         prompt_parts: The item's `calls.Call.prompt_parts`.
         output_bytes: Size of `event_data` as JSON.
         oversized_runs: Number of runs whose output was too large.
+        part: Number of the stored value in which the item starts.
+        place: Its place among the items that start there.
+        held_bytes: Memory that the item is charged for.
+        is_loaded: Whether `item` has its headers and its body.
     """
 
     item: calls.BatchItem
@@ -76,6 +80,10 @@
     prompt_parts: tuple[str, ...] | None = None
     output_bytes: int = 0
     oversized_runs: int = 0
+    part: int = 0
+    place: int = 0
+    held_bytes: int = 0
+    is_loaded: bool = True
 
     def discard_oversized(self) -> None:
         """Drop an output too large for a result; the next run starts anew.
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -1,6 +1,7 @@
 """Claims open jobs and runs their items between online requests."""
 
 from collections.abc import Callable
+import sys
 import time
 from typing import Final
 import urllib.parse
@@ -12,8 +13,10 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate import outcomes
 from eelgrassgate.batches import items
+from eelgrassgate.batches import job_memory
 from eelgrassgate.batches import ownership
 from eelgrassgate.batches import records
 from eelgrassgate.batches import scheduling
@@ -48,7 +51,9 @@
 # Bound on the cached results of closed jobs, a tenth of a small instance's
 # memory.
 MAX_CACHED_BYTES: Final = 20_000_000
-# Bounds the memory and the connections of one process.
+# Holder of the requests of running items in the memory budget.
+SENT: Final = "sent"
+# Bounds the connections of one process.
 MAX_RUNNING_ITEMS: Final = 200
 
 
@@ -96,8 +101,16 @@
         quarantine: quarantine_lib.Quarantine,
         read_catalog: Callable[[], catalog.Catalog],
         metrics: metrics_lib.Metrics,
+        budget: memory_budget.Budget,
     ) -> None:
         """Create an owner; see `create_owner`."""
+        self._memory = job_memory.create_job_memory(budget)
+        self._is_loading_part = False
+        # Requests are held a second time while they are sent.
+        self._sent_account = budget.open(memory_budget.Kind.JOB, SENT)
+        budget.add_cache(self._evict_cached_job)
+        budget.add_cache(self._unload_items)
+        budget.add_cache(self._evict_committed)
         self._store = store
         self._open_mirror = open_mirror
         self._member = member
@@ -184,6 +197,8 @@
         owned = self._owned_by_id.get(name)
         if owned is None or not owned.is_claimed() or not owned.is_synced():
             return None
+        if not owned.has_committed:
+            return None
         return owned if self._registration.is_valid() else None
 
     def _stop_cancelled_job(self, job: str) -> None:
@@ -212,6 +227,7 @@
                     self._close_cancelled(tasks)
                     self._claim_available(tasks)
                     self._start_items(tasks)
+                    self._load_bodies(tasks)
                 self._preempt_items()
                 await anyio.sleep(POLL_INTERVAL_S)
 
@@ -229,6 +245,7 @@
             return
         now = deadlines.now()
         members = self._directory.get_names(registry.Role.BATCH)
+        is_short = self._find_unloaded() is not None
         for name, job in list(self._jobs_by_id.items()):
             if name in self._owned_by_id:
                 continue
@@ -245,9 +262,12 @@
             turn = len(order)
             if self._member.name in order:
                 turn = order.index(self._member.name)
+            if is_short:
+                # Others may have memory for the job.
+                turn += len(order)
             if claim is not None or now - since >= turn * CLAIM_STAGGER_S:
                 owned = ownership.create_owned_job(
-                    self._store, job.job, job.revision
+                    self._store, job.job, job.revision, self._memory
                 )
                 if claim is not None:
                     owned.replace_claim(claim.revision)
@@ -271,14 +291,27 @@
 
     def _cache_job(self, name: str, owned: ownership.OwnedJob) -> None:
         """Cache a closed job's results for readers; evicts the oldest jobs."""
+        if not owned.has_committed:
+            owned.release_memory()
+            return
         self._cached_by_id[name] = owned
         size = sum(
             records.count_memory(cached.committed)
             for cached in self._cached_by_id.values()
         )
         while size > MAX_CACHED_BYTES and len(self._cached_by_id) > 1:
-            dropped = self._cached_by_id.pop(next(iter(self._cached_by_id)))
-            size -= records.count_memory(dropped.committed)
+            size -= records.count_memory(
+                next(iter(self._cached_by_id.values())).committed
+            )
+            self._evict_cached_job()
+
+    def _evict_cached_job(self) -> bool:
+        """Drop the closed job that was cached first."""
+        if not self._cached_by_id:
+            return False
+        dropped = self._cached_by_id.pop(next(iter(self._cached_by_id)))
+        dropped.release_memory()
+        return True
 
     def _is_stale_claim(self, claim: base.Record) -> bool:
         """Return whether a claim keeps an untracked job from being claimed.
@@ -322,7 +355,9 @@
             if self._owned_by_id.get(name) is owned:
                 del self._owned_by_id[name]
             self._unclaimed_since_by_job.pop(name, None)
-        if not owned.is_open():
+        if owned.is_open():
+            owned.release_memory()
+        else:
             self._closed_jobs.add(name)
             self._cache_job(name, owned)
 
@@ -385,9 +420,14 @@
             return endpoint.id not in self._next_start_by_endpoint
 
         full: set[str] = set()
+        too_large = sys.maxsize
         for owned, progress in waiting:
             if len(self._runs) >= MAX_RUNNING_ITEMS:
                 return
+            # Its body may have given way for an item before.
+            is_held = progress.is_loaded
+            if not is_held or len(progress.item.body) >= too_large:
+                continue
             route = self._find_route(owned, progress)
             if route is None or route.targets[0].service in full:
                 continue
@@ -402,6 +442,9 @@
                 if not progress.failed_endpoints:
                     full.add(route.targets[0].service)
                 continue
+            if not self._try_hold_request(owned, progress):
+                too_large = len(progress.item.body)
+                continue
             self._next_start_by_endpoint[endpoint.id] = now + (
                 scheduling.PREFERRED_START_INTERVAL_S
                 if self._is_preferred(endpoint)
@@ -409,6 +452,90 @@
             )
             self._start_item(tasks, owned, progress, endpoint, route)
 
+    def _load_bodies(self, tasks: abc.TaskGroup) -> None:
+        """Read the bodies of the most urgent items that lack them."""
+        found = None if self._is_loading_part else self._find_unloaded()
+        if found is None:
+            return
+        owned, part = found
+        if not self._make_room(lambda: owned.try_hold_part(part), owned):
+            return
+        self._is_loading_part = True
+        tasks.start_soon(self._load_part, owned, part)
+
+    def _make_room(
+        self, try_charge: Callable[[], bool], owned: ownership.OwnedJob
+    ) -> bool:
+        """Charge something for a job; what is less urgent gives way."""
+        while not try_charge():
+            if not self._evict_cached_job() and not self._unload_items(owned):
+                return False
+        return True
+
+    def _find_unloaded(self) -> tuple[ownership.OwnedJob, int] | None:
+        """Return the most urgent job that has items without their bodies.
+
+        Also returns the value that holds the first of them that can start.
+        """
+        owned_jobs = [
+            owned for owned in self._owned_by_id.values() if owned.is_claimed()
+        ]
+        owned_jobs.sort(key=lambda owned: owned.job.due)
+        for owned in owned_jobs:
+            part = owned.find_unloaded_part(self._can_start)
+            if part is not None:
+                return owned, part
+        return None
+
+    async def _load_part(self, owned: ownership.OwnedJob, part: int) -> None:
+        try:
+            await owned.load_part(part)
+        except ownership.StoreFailedError as error:
+            logs.log_message(
+                "job store call failed", job=owned.id, reason=str(error)
+            )
+            await anyio.sleep(STORE_RETRY_DELAY_S)
+        finally:
+            self._is_loading_part = False
+
+    def _unload_items(self, urgent: ownership.OwnedJob | None = None) -> bool:
+        """Drop the bodies of items of one value; returns whether it did.
+
+        Items that can't start now come first, then those of the jobs due last.
+
+        Args:
+            urgent: A job for which no job that is due before gives way.
+        """
+        candidates = [
+            (not self._can_start(progress), owned.job.due, owned, progress)
+            for owned in self._owned_by_id.values()
+            for progress in owned.waiting
+            if progress.is_loaded
+        ]
+        if urgent is not None:
+            candidates = [
+                one for one in candidates if one[0] or one[1] > urgent.job.due
+            ]
+        if not candidates:
+            return False
+        must_wait, _, owned, progress = max(candidates, key=lambda one: one[:2])
+        owned.unload_part(
+            progress.part, lambda one: not (must_wait and self._can_start(one))
+        )
+        return True
+
+    def _evict_committed(self) -> bool:
+        """Drop the results of the open job that keeps most for readers."""
+        kept = [one for one in self._owned_by_id.values() if one.committed]
+        if not kept:
+            return False
+        sizes = [records.count_memory(one.committed) for one in kept]
+        kept[sizes.index(max(sizes))].drop_committed()
+        return True
+
+    def _can_start(self, progress: items.Progress) -> bool:
+        return self._can_retry(progress) and not self._is_held_back(progress)
+
     def _is_preferred(self, endpoint: catalog.Endpoint) -> bool:
         """Return whether this process is the preferred one for an endpoint.
 
@@ -446,7 +573,7 @@
             for owned in self._owned_by_id.values()
             if owned.is_claimed()
             for progress in owned.waiting
-            if self._can_retry(progress) and not self._is_held_back(progress)
+            if progress.is_loaded and self._can_start(progress)
         ]
         ranked.sort(key=lambda one: one[:2])
         return [(owned, progress) for _, _, owned, progress in ranked]
@@ -467,6 +594,8 @@
         return self._quarantine.find_quarantined(parts) is not None
 
     def _get_prompt_parts(self, progress: items.Progress) -> tuple[str, ...]:
+        if progress.prompt_parts is None and not progress.is_loaded:
+            return ()
         if progress.prompt_parts is None:
             progress.prompt_parts = items.read_prompt_parts(
                 self._dialect, progress.item
@@ -491,6 +620,19 @@
             owned.record_result(progress, records.DEAD_LETTER, "no route")
         return route
 
+    def _try_hold_request(
+        self, owned: ownership.OwnedJob, progress: items.Progress
+    ) -> bool:
+        """Take a waiting item, with memory for its request."""
+        size = len(progress.item.body)
+        # Bodies of waiting items give way, but not its own.
+        position = owned.waiting.index(progress)
+        del owned.waiting[position]
+        if self._make_room(lambda: self._sent_account.try_keep(size), owned):
+            return True
+        owned.waiting.insert(position, progress)
+        return False
+
     def _start_item(
         self,
         tasks: abc.TaskGroup,
@@ -499,7 +641,6 @@
         endpoint: catalog.Endpoint,
         route: catalog.Route,
     ) -> None:
-        owned.waiting.remove(progress)
         owned.running[progress.item.id] = progress
         self._placement.record_sending(endpoint)
         run = _Run(
@@ -547,6 +688,7 @@
         finally:
             tracking.__exit__(None, None, None)  # type: ignore[attr-defined]
             self._runs.remove(run)
+            self._sent_account.shrink(len(run.progress.item.body))
             run.owned.running.pop(run.progress.item.id, None)
         self._handle_outcome(run, outcome, reason, route)
 
@@ -735,6 +877,7 @@
     quarantine: quarantine_lib.Quarantine,
     read_catalog: Callable[[], catalog.Catalog],
     metrics: metrics_lib.Metrics,
+    budget: memory_budget.Budget,
 ) -> Owner:
     """Create an owner.
 
@@ -751,6 +894,7 @@
         quarantine: Tells which items would crash endpoints.
         read_catalog: Returns the current configuration.
         metrics: Receives counts and run times of items.
+        budget: The memory budget of the process.
     """
     return Owner(
         store,
@@ -765,4 +909,5 @@
         quarantine,
         read_catalog,
         metrics,
+        budget,
     )
--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -1,5 +1,6 @@
 """A job that this process runs: its claim, items and result commits."""
 
+from collections.abc import Callable
 import re
 import time
 from typing import Final
@@ -11,9 +12,12 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate.batches import items
+from eelgrassgate.batches import job_memory
 from eelgrassgate.batches import records
 from eelgrassgate.batches import stored_items
+from eelgrassgate.gateway import calls
 from eelgrassgate.store import base
 
 _CLAIM: Final = re.compile(r"(.+) ([0-9]{1,20})")
@@ -35,6 +39,8 @@
         created_at: Monotonic time at which this object was created.
         waiting: Items that are ready to run.
         running: Items that are running, by id.
+        has_committed: Whether `committed` is complete; it is dropped when
+            memory is short, as readers find the results in the store.
         uncommitted: Results that are not committed yet.
         committed: Results that are committed, in order.
         is_stopped: Whether this process has stopped working on the job,
@@ -42,9 +48,19 @@
     """
 
     def __init__(
-        self, store: base.Store, job: records.Job, open_revision: int
+        self,
+        store: base.Store,
+        job: records.Job,
+        open_revision: int,
+        memory: job_memory.JobMemory,
     ) -> None:
         """Create an unclaimed job; see `create_owned_job`."""
+        self._memory = memory
+        self._items_account = memory.budget.open(memory_budget.Kind.JOB, job.id)
+        self._results_account = memory.budget.open(
+            memory_budget.Kind.RESULT, job.id
+        )
+        self._bytes_by_part: dict[int, int] = {}
         self._store = store
         self._open_revision = open_revision
         self._claim_revision = 0
@@ -58,6 +74,7 @@
         self._max_commit_results: int | None = None
         self._commit_event = anyio.Event()
         self.committed: list[records.Result] = []
+        self.has_committed = True
         self.job = job
         self.created_at = deadlines.now()
         self.waiting: list[items.Progress] = []
@@ -170,25 +187,138 @@
             await self._load()
         except msgspec.MsgspecError as error:
             raise StoreFailedError(f"invalid value: {error}") from error
+        except job_memory.MemoryShortError as error:
+            raise StoreFailedError(str(error)) from error
+        finally:
+            if not self._is_loaded:
+                self._items_account.shrink(self._items_account.held_bytes)
+                self.drop_committed()
 
     async def _load(self) -> None:
         await self._load_head()
-        committed: list[records.Result] = []
+        self.has_committed = True
+        known: set[str] = set()
         for part in range(len(self._head.ends)):
-            value = await self._read(records.get_results_key(self.id, part))
-            committed.extend(records.decode_results(value))
-        known = {one.id for one in committed}
-        waiting = [
-            items.Progress(item)
-            async for item in stored_items.iterate_items(self.job, self._read)
-            if item.id not in known
-        ]
+            async with self._memory.read_values(self.job):
+                value = await self._read(records.get_results_key(self.id, part))
+                found = records.decode_results(value)
+                known.update(one.id for one in found)
+                self._keep_committed(found)
+        waiting: list[items.Progress] = []
+        part = 0
+        while part < self.job.parts:
+            async with self._memory.read_values(self.job):
+                group, following = await stored_items.read_group(
+                    self.job, part, self._read
+                )
+                left = [
+                    items.Progress(item, part=part, place=place)
+                    for place, item in enumerate(group)
+                    if item.id not in known
+                ]
+                self._hold_items(part, left)
+                waiting.extend(left)
+            part = following
         # Items start as soon as they are waiting, and a load that fails is
         # repeated, so nothing may be visible before everything is read.
-        self.committed = committed
         self.waiting = waiting
         self._is_loaded = True
 
+    def _hold_items(self, part: int, left: list[items.Progress]) -> None:
+        """Charge items that were read, or keep them without their bodies."""
+        for progress in left:
+            progress.held_bytes = job_memory.measure_item(progress.item)
+        size = sum(progress.held_bytes for progress in left)
+        self._bytes_by_part[part] = size
+        if self._items_account.try_keep(size):
+            return
+        for progress in left:
+            _strip(progress)
+        size = sum(progress.held_bytes for progress in left)
+        if not self._items_account.try_grow(size):
+            raise job_memory.MemoryShortError("memory is short")
+
+    def find_unloaded_part(
+        self, can_start: Callable[[items.Progress], bool]
+    ) -> int | None:
+        """Return the value to read for waiting items without their bodies."""
+        for progress in self.waiting:
+            if not progress.is_loaded and can_start(progress):
+                return progress.part
+        return None
+
+    def try_hold_part(self, part: int) -> bool:
+        """Charge the items of a value before `load_part`."""
+        return self._items_account.try_keep(self._bytes_by_part[part])
+
+    async def load_part(self, part: int) -> None:
+        """Read the bodies of the waiting items of a value.
+
+        `try_hold_part` has charged them.
+
+        Raises:
+            StoreFailedError: A store call failed, or a value is missing or
+                invalid.
+        """
+        charged = self._bytes_by_part[part]
+        try:
+            async with self._memory.read_values(self.job):
+                group, _ = await stored_items.read_group(
+                    self.job, part, self._read
+                )
+                for progress in self.waiting:
+                    if progress.part == part and not progress.is_loaded:
+                        before = progress.held_bytes
+                        progress.item = _select_item(group, progress)
+                        progress.is_loaded = True
+                        progress.held_bytes = job_memory.measure_item(
+                            progress.item
+                        )
+                        charged -= progress.held_bytes - before
+        except msgspec.MsgspecError as error:
+            raise StoreFailedError(f"invalid value: {error}") from error
+        except job_memory.MemoryShortError as error:
+            raise StoreFailedError(str(error)) from error
+        finally:
+            self._items_account.shrink(max(0, charged))
+
+    def unload_part(
+        self, part: int, may_drop: Callable[[items.Progress], bool]
+    ) -> None:
+        """Drop bodies of waiting items of a value; they are read again later.
+
+        Args:
+            part: Number of the value.
+            may_drop: Returns whether to drop the body of an item.
+        """
+        freed = 0
+        for one in self.waiting:
+            if one.is_loaded and one.part == part and may_drop(one):
+                freed += one.held_bytes
+                _strip(one)
+                freed -= one.held_bytes
+        self._items_account.shrink(freed)
+
+    def release_memory(self) -> None:
+        """Give back what is charged for the items and the results."""
+        self._items_account.close()
+        self._results_account.close()
+
+    def _keep_committed(self, found: list[records.Result]) -> None:
+        """Keep results for readers while there is memory for all of them."""
+        if not self.has_committed:
+            return
+        if self._results_account.try_keep(records.count_memory(found)):
+            self.committed.extend(found)
+        else:
+            self.drop_committed()
+
+    def drop_committed(self) -> None:
+        """Drop the results that are kept for readers."""
+        self.committed = []
+        self.has_committed = False
+        self._results_account.shrink(self._results_account.held_bytes)
+
     async def _load_head(self) -> None:
         key = f"{records.HEADS}{records.quote(self.id)}"
         answer = await self._store.read(key)
@@ -228,6 +358,8 @@
         if state == records.COMPLETED:
             text = "\n".join(progress.event_data)
         self.uncommitted.append(records.Result(progress.item.id, state, text))
+        self._items_account.shrink(progress.held_bytes)
+        progress.held_bytes = 0
         logs.log_message(
             "item ended",
             job=self.id,
@@ -318,7 +450,7 @@
         self._head = self._pending_head
         self._head_revision = revision
         done = self._pending_results
-        self.committed.extend(done)
+        self._keep_committed(done)
         previous_event, self._commit_event = self._commit_event, anyio.Event()
         previous_event.set()
         self.uncommitted = self.uncommitted[len(done) :]
@@ -358,6 +490,26 @@
         self._claim_revision = revision
 
 
+def _select_item(
+    group: list[calls.BatchItem], progress: items.Progress
+) -> calls.BatchItem:
+    """Return an item out of those that were read again.
+
+    Raises:
+        StoreFailedError: It is not there.
+    """
+    found = group[progress.place : progress.place + 1]
+    if not found or found[0].id != progress.item.id:
+        raise StoreFailedError(f"item {progress.item.id} is missing")
+    return found[0]
+
+
+def _strip(progress: items.Progress) -> None:
+    progress.item = job_memory.strip_item(progress.item)
+    progress.held_bytes = job_memory.measure_item(progress.item)
+    progress.is_loaded = False
+
+
 def build_closing_changes(job: str) -> tuple[base.Delete, ...]:
     """Return the changes that close a job, so that no process runs it."""
     quoted = records.quote(job)
@@ -378,7 +530,10 @@
 
 
 def create_owned_job(
-    store: base.Store, job: records.Job, open_revision: int
+    store: base.Store,
+    job: records.Job,
+    open_revision: int,
+    memory: job_memory.JobMemory,
 ) -> OwnedJob:
     """Create an owned job that is not claimed yet.
 
@@ -388,5 +543,6 @@
         open_revision: Revision of the job's record under
             `records.OPEN_JOBS`. A claim fails if that record has changed or
             is gone.
+        memory: The memory of the process.
     """
-    return OwnedJob(store, job, open_revision)
+    return OwnedJob(store, job, open_revision, memory)
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -13,6 +13,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import stored_items
@@ -24,6 +25,8 @@
 # Bound of each cache, a tenth of a small instance's memory. Cached values are
 # immutable in the store, so they never become stale.
 MAX_CACHE_BYTES: Final = 24_000_000
+# Holder of the caches in the memory budget.
+CACHES: Final = "caches"
 # Cached job records take a few hundred bytes each.
 MAX_CACHED_JOBS: Final = 4_000
 # After this time without a response from an owner the store is read instead.
@@ -76,6 +79,7 @@
         store: base.Store,
         directory: registry.Directory,
         is_reachable: Callable[[str], bool],
+        budget: memory_budget.Budget,
     ) -> None:
         """Create a reader; see `create_reader`."""
         self._store = store
@@ -85,11 +89,13 @@
         self._jobs_by_id: OrderedDict[str, records.Job] = OrderedDict()
         self._owners_by_job: dict[str, str] = {}
         self._values_by_key: OrderedDict[str, bytes] = OrderedDict()
-        self._values_bytes = 0
+        self._values_account = budget.open(memory_budget.Kind.RESULT, CACHES)
         self._results_by_job: OrderedDict[str, list[records.Result]] = (
             OrderedDict()
         )
-        self._results_bytes = 0
+        self._results_account = budget.open(memory_budget.Kind.RESULT, CACHES)
+        budget.add_cache(self._evict_value)
+        budget.add_cache(self._evict_results)
 
     async def find_job(self, job: str, workspace: str) -> records.Job | None:
         """Return a workspace's job; None only if it does not exist.
@@ -210,12 +216,13 @@
         current = self._results_by_job.get(job, [])
         if len(current) != len(known) or not fetched.results:
             return
+        size = records.count_memory(fetched.results)
+        if not self._results_account.try_keep(size):
+            return
         self._results_by_job[job] = [*current, *fetched.results]
         self._results_by_job.move_to_end(job)
-        self._results_bytes += records.count_memory(fetched.results)
-        while self._results_bytes > MAX_CACHE_BYTES:
-            _, dropped = self._results_by_job.popitem(last=False)
-            self._results_bytes -= records.count_memory(dropped)
+        while self._results_account.held_bytes > MAX_CACHE_BYTES:
+            self._evict_results()
 
     async def _fetch_results(
         self, job: records.Job, after: int, wait_until: float
@@ -286,9 +293,14 @@
                 invalid.
         """
         try:
-            async for one in stored_items.iterate_items(job, self._read_value):
-                if one.id == item:
-                    return one.body
+            part = 0
+            while part < job.parts:
+                found, part = await stored_items.read_group(
+                    job, part, self._read_value
+                )
+                for one in found:
+                    if one.id == item:
+                        return one.body
         except msgspec.MsgspecError as error:
             raise UnavailableError(f"invalid value: {error}") from error
         return None
@@ -302,18 +314,37 @@
         if record is None:
             logs.log_message("stored value missing", key=key)
             raise UnavailableError(f"{key} does not exist")
-        self._values_by_key[key] = record.value
-        self._values_bytes += len(record.value)
-        while self._values_bytes > MAX_CACHE_BYTES:
-            _, dropped = self._values_by_key.popitem(last=False)
-            self._values_bytes -= len(dropped)
+        size = len(record.value)
+        if key not in self._values_by_key and self._values_account.try_keep(
+            size
+        ):
+            self._values_by_key[key] = record.value
+            while self._values_account.held_bytes > MAX_CACHE_BYTES:
+                self._evict_value()
         return record.value
 
+    def _evict_value(self) -> bool:
+        """Drop the value that was used least recently."""
+        if not self._values_by_key:
+            return False
+        _, dropped = self._values_by_key.popitem(last=False)
+        self._values_account.shrink(len(dropped))
+        return True
+
+    def _evict_results(self) -> bool:
+        """Drop the results that were used least recently."""
+        if not self._results_by_job:
+            return False
+        _, dropped = self._results_by_job.popitem(last=False)
+        self._results_account.shrink(records.count_memory(dropped))
+        return True
+
 
 def create_reader(
     store: base.Store,
     directory: registry.Directory,
     is_reachable: Callable[[str], bool],
+    budget: memory_budget.Budget,
 ) -> Reader:
     """Create a reader.
 
@@ -321,5 +352,6 @@
         store: The store.
         directory: The registered processes.
         is_reachable: Returns whether a process can be reached from here.
+        budget: The memory budget of the process.
     """
-    return Reader(store, directory, is_reachable)
+    return Reader(store, directory, is_reachable, budget)
--- a/eelgrassgate/batches/stored_items.py
+++ b/eelgrassgate/batches/stored_items.py
@@ -4,7 +4,6 @@
 values after it.
 """
 
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Final
@@ -88,33 +87,33 @@
     return decoding.decode(_DECODER, value)
 
 
-async def iterate_items(
-    job: records.Job, read: Callable[[str], Awaitable[bytes]]
-) -> AsyncIterator[calls.BatchItem]:
-    """Yield a job's items in order.
+async def read_group(
+    job: records.Job, part: int, read: Callable[[str], Awaitable[bytes]]
+) -> tuple[list[calls.BatchItem], int]:
+    """Read the items that start in one value.
 
     Args:
         job: The job.
+        part: Number of the value.
         read: Returns the value of a key.
 
+    Returns:
+        The items and the number of the value after the last that holds them.
+
     Raises:
         msgspec.MsgspecError: A value is malformed.
     """
-    part = 0
-    while part < job.parts:
+    value = await read(records.get_items_key(job.id, part))
+    found = decode_part(value)
+    part += 1
+    if isinstance(found, list):
+        return found, part
+    body = bytearray()
+    for _ in range(found.pieces):
         value = await read(records.get_items_key(job.id, part))
-        found = decode_part(value)
+        body += decoding.decode(_BODY_DECODER, value)
         part += 1
-        if isinstance(found, list):
-            for item in found:
-                yield item
-            continue
-        body = b""
-        for _ in range(found.pieces):
-            value = await read(records.get_items_key(job.id, part))
-            body += decoding.decode(_BODY_DECODER, value)
-            part += 1
-        yield msgspec.structs.replace(found.item, body=body)
+    return [msgspec.structs.replace(found.item, body=bytes(body))], part
 
 
 def create_splitter() -> Splitter:
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -5,6 +5,7 @@
 from typing import Final
 from typing import Protocol
 
+import anyio
 from anyio import lowlevel
 import msgspec
 
@@ -119,6 +120,9 @@
     ) -> None:
         """Initialize; see `create_batch_calls`."""
         self._admission = admission
+        # Held while a large job is encoded, so that other requests are served
+        # between its steps.
+        self._encoding = anyio.Lock()
         self._store = store
         self._intake = intake
         self._reader = reader
@@ -201,7 +205,7 @@
         if not records.is_storable_id(call.id):
             return None
         async with (
-            self._admission.encoding
+            self._encoding
             if admission_lib.is_large(size)
             else contextlib.nullcontext()
         ):
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -45,7 +45,10 @@
             self._shutdown,
         )
         reader = results.create_reader(
-            adapters.store, node.directory, node.reports.is_directly_reachable
+            adapters.store,
+            node.directory,
+            node.reports.is_directly_reachable,
+            node.budget,
         )
         self._service = service_lib.create_service(
             node.discovery.get_catalog,
@@ -60,7 +63,9 @@
                 reader,
                 adapters.dialect,
                 adapters.batch_dialect,
-                admission.create_admission(node.budget),
+                admission.create_admission(
+                    node.budget, admission.SUBMISSION_RESERVE_BYTES
+                ),
             ),
             node.metrics,
             self._shutdown,
--- a/eelgrassgate/memory_budget.py
+++ b/eelgrassgate/memory_budget.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 import enum
 from types import TracebackType
 from typing import Final
@@ -62,6 +63,13 @@
         """Charge `size` bytes if the budget has them; else charge nothing."""
         return self._budget.try_charge(self, size)
 
+    def try_keep(self, size: int) -> bool:
+        """Charge something that can be dropped again, if there is room.
+
+        Nothing gives way for it, and it counts as no refusal if there is none.
+        """
+        return self._budget.try_keep(self, size)
+
     async def grow(self, size: int, deadline: float) -> bool:
         """Charge `size` bytes, waiting until `deadline` while memory is short.
 
@@ -122,12 +130,22 @@
         self._large_bytes = 0
         self._large_bytes_by_holder: dict[str, int] = {}
         self._waiters: deque[_Waiter] = deque()
+        self._evictors: list[Callable[[], bool]] = []
         self._is_short = False
 
     def open(self, kind: Kind, holder: str = "") -> Account:
         """Open an account; close it on every way out."""
         return Account(self, kind, holder)
 
+    def add_cache(self, evict: Callable[[], bool]) -> None:
+        """Let a cache give way when the process has no room for a charge.
+
+        Args:
+            evict: Drops one entry and gives back its charge; returns whether
+                there was one.
+        """
+        self._evictors.append(evict)
+
     def can_ever_hold(self, size: int) -> bool:
         """Return whether an account of this size fits an empty budget."""
         if size <= SMALL_BYTES:
@@ -140,12 +158,19 @@
 
     def try_charge(self, account: Account, size: int) -> bool:
         """Charge an account at once, or not at all; see `Account.try_grow`."""
-        if self._can_charge(account, size):
+        if self._make_room(account, size):
             self._apply(account, size)
             return True
         self._refuse(account, size)
         return False
 
+    def try_keep(self, account: Account, size: int) -> bool:
+        """Charge an account for a cache; see `Account.try_keep`."""
+        if self._waiters or not self._can_charge(account, size):
+            return False
+        self._apply(account, size)
+        return True
+
     async def charge(
         self, account: Account, size: int, deadline: float
     ) -> bool:
@@ -156,7 +181,7 @@
         """
         is_new_and_large = not account.held_bytes and size > SMALL_BYTES
         must_queue = is_new_and_large and bool(self._waiters)
-        if not must_queue and self._can_charge(account, size):
+        if not must_queue and self._make_room(account, size):
             self._apply(account, size)
             return True
         if not self.can_ever_hold(account.held_bytes + size):
@@ -186,6 +211,15 @@
             self._is_short = False
             logs.log_message("memory:sufficient", held_bytes=self.held_bytes)
 
+    def _make_room(self, account: Account, size: int) -> bool:
+        """Return whether a charge fits, after caches have given way."""
+        if not self.can_ever_hold(account.held_bytes + size):
+            return False
+        while not self._has_room(account, size):
+            if not any(evict() for evict in self._evictors):
+                break
+        return self._can_charge(account, size)
+
     def _can_charge(self, account: Account, size: int) -> bool:
         return (
             not account.is_closed
--- a/tests/site.py
+++ b/tests/site.py
@@ -180,6 +180,11 @@
             return
 
 
+def make_budget() -> memory_budget.Budget:
+    """Return the budget of a process with 300 MB."""
+    return memory_budget.create_budget(300 * memory_budget.BYTES_PER_MB)
+
+
 class BatchCallsStub:
     """Stub of the batch job API that parses calls and accepts jobs.
 
@@ -195,7 +200,8 @@
             self.submissions, contact.create_contact()
         )
         self.admission = admission.create_admission(
-            memory_budget.create_budget(300 * memory_budget.BYTES_PER_MB)
+            make_budget(),
+            admission.SUBMISSION_RESERVE_BYTES,
         )
 
     def read_job_call(self, call: Any) -> Any:
--- a/tests/test_batch_daemon.py
+++ b/tests/test_batch_daemon.py
@@ -130,7 +130,9 @@
         async with open_batches(store, "a"):
             watched = mirror.create_mirror(store, registry.MEMBERS_PREFIX)
             directory = registry.create_directory(watched)
-            reader = results.create_reader(store, directory, lambda name: True)
+            reader = results.create_reader(
+                store, directory, lambda name: True, site_lib.make_budget()
+            )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(watched.run)
                 await test_batches.submit(store, 1)
@@ -146,7 +148,10 @@
                             break
                         # Retry until the batch process has seen the job.
                         reader = results.create_reader(
-                            store, directory, lambda name: True
+                            store,
+                            directory,
+                            lambda name: True,
+                            site_lib.make_budget(),
                         )
                         await anyio.sleep(0.05)
                 assert job is not None
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from eelgrassgate import deadlines
+from eelgrassgate import memory_budget
+from eelgrassgate.batches import job_memory
 from eelgrassgate.batches import owner as owner_lib
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import ownership
@@ -180,7 +182,10 @@
     record = (await store.read(f"{records.OPEN_JOBS}{JOB}")).unwrap()
     assert record is not None
     return ownership.create_owned_job(
-        store, records.decode_job(record.value), record.revision
+        store,
+        records.decode_job(record.value),
+        record.revision,
+        job_memory.create_job_memory(site_lib.make_budget()),
     )
 
 
@@ -470,7 +475,9 @@
     directory = registry.create_directory(
         mirror.create_mirror(store, registry.MEMBERS_PREFIX)
     )
-    return results.create_reader(store, directory, lambda name: False)
+    return results.create_reader(
+        store, directory, lambda name: False, site_lib.make_budget()
+    )
 
 
 async def read_ids(store: base.Store, job: records.Job) -> list[str]:
@@ -493,7 +500,9 @@
 class Harness:
     """An owner with stand-in endpoints and a store in memory."""
 
-    def __init__(self, names: str = "ef") -> None:
+    def __init__(
+        self, names: str = "ef", budget: memory_budget.Budget | None = None
+    ) -> None:
         self.store = make_store()
         self.catalog = site_lib.make_catalog()
         self.endpoints = [endpoint.create_endpoint(name) for name in names]
@@ -539,6 +548,7 @@
             self.quarantine,
             lambda: self.catalog,
             metrics_lib.create_metrics(),
+            budget or site_lib.make_budget(),
         )
         self.reader = make_reader(self.store)
 
@@ -566,9 +576,12 @@
 
 @contextlib.asynccontextmanager
 async def open_harness(
-    *, slots: int = 8, names: str = "ef"
+    *,
+    slots: int = 8,
+    names: str = "ef",
+    budget: memory_budget.Budget | None = None,
 ) -> AsyncIterator[Harness]:
-    harness = Harness(names)
+    harness = Harness(names, budget)
     async with anyio.create_task_group() as tasks:
         for one in harness.endpoints:
             await tasks.start(one.serve)
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -1,5 +1,7 @@
 """Memory that jobs take while they are accepted, run and read."""
 
+import asyncio
+from collections import Counter
 import contextlib
 import pathlib
 import tempfile
@@ -9,14 +11,22 @@
 from unittest import mock
 
 import anyio
+import msgspec
 
 from bench import memory_load
+from bench import ports
+from bench import processes
 from eelgrassgate import deadlines
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import records
+from eelgrassgate.batches import submission
+from eelgrassgate.gateway import calls
+from eelgrassgate.platform import kv
+from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 from tests import site as site_lib
+from tests import test_batches
 from tests import test_forwarding
 
 TIMEOUT_S: Final = 10.0
@@ -27,14 +37,29 @@
 LIMIT: Final = 100 * MB
 LARGE: Final = 10 * MB
 SMALL: Final = 10_000
+# Jobs of 2.8 MB each, in values of one item.
+COUNT: Final = 6
+ITEMS: Final = 4
+ITEM_BYTES: Final = 690_000
+# Jobs of one item of 2.8 MB that wait for a process that starts.
+STORED_JOBS: Final = 80
 # As many jobs of the largest size as half the memory holds the bodies of.
 JOBS: Final = 24
 
 
+def read_peak_mb(pid: int) -> int:
+    """Return the peak of a process's resident memory."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["VmHWM"].split()[0]) * 1024 // MB
+
+
 class AdmissionTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.budget = memory_budget.Budget(LIMIT)
-        self.admission = admission_lib.create_admission(self.budget)
+        self.admission = admission_lib.create_admission(
+            self.budget, admission_lib.SUBMISSION_RESERVE_BYTES
+        )
         self.at_rest = self.budget.held_bytes
         self.started: list[str] = []
         self.ended = anyio.Event()
@@ -140,7 +165,9 @@
         store = memory.create_memory_store()
         async with site_lib.open_site() as site:
             site.batches.submissions = store
-            site.batches.admission = admission_lib.create_admission(budget)
+            site.batches.admission = admission_lib.create_admission(
+                budget, admission_lib.SUBMISSION_RESERVE_BYTES
+            )
             while budget.open(JOB).try_grow(SMALL):
                 pass
             for is_unconfirmed, status in ((False, 503), (True, 504)):
@@ -167,6 +194,103 @@
         self.assertEqual(page.records, ())
 
 
+class OwnerTest(unittest.IsolatedAsyncioTestCase):
+    async def run_jobs(
+        self, budget: memory_budget.Budget
+    ) -> tuple[test_batches.Harness, int]:
+        """Run jobs that are larger together than the budget's bodies.
+
+        Returns:
+            The harness and the most bytes of bodies that were held.
+        """
+        items = tuple(
+            calls.BatchItem(f"i{number}", "/batch/1", {}, bytes(ITEM_BYTES))
+            for number in range(ITEMS)
+        )
+        names = [f"job-{number}" for number in range(COUNT)]
+        most = 0
+        async with test_batches.open_harness(budget=budget) as harness:
+            owner: Any = harness.owner
+            for name in names:
+                accepted = await submission.submit(
+                    harness.store,
+                    msgspec.structs.replace(test_batches.make_call(), id=name),
+                    test_batches.ROUTE,
+                    site_lib.WORKSPACE,
+                    test_batches.split_items(items),
+                    1,
+                )
+                self.assertEqual(accepted.outcome, submission.Outcome.DONE)
+            with anyio.fail_after(20.0):
+                while not await self.is_closed(harness, names):
+                    most = max(
+                        most,
+                        sum(
+                            len(progress.item.body)
+                            for owned in owner._owned_by_id.values()
+                            for progress in (
+                                *owned.waiting,
+                                *owned.running.values(),
+                            )
+                        ),
+                    )
+                    self.assertLessEqual(budget.held_bytes, budget.limit_bytes)
+                    await anyio.sleep(0.01)
+            for name in names:
+                found = await self.read_listed(harness, name)
+                self.assertEqual(sorted(found), [f"i{n}" for n in range(ITEMS)])
+        return harness, most
+
+    async def is_closed(
+        self, harness: test_batches.Harness, names: list[str]
+    ) -> bool:
+        for name in names:
+            key = f"{records.HEADS}{name}"
+            record = (await harness.store.read(key)).unwrap()
+            if record is None:
+                return False
+            if not records.decode_head(record.value).is_closed:
+                return False
+        return True
+
+    async def read_listed(
+        self, harness: test_batches.Harness, name: str
+    ) -> list[str]:
+        """Return the ids of all results of a job, as the store lists them."""
+        prefix = f"{records.RESULTS}{name}/"
+        page = (await harness.store.read_range(prefix)).unwrap()
+        return [
+            one.id
+            for record in page.records
+            for one in records.decode_results(record.value)
+        ]
+
+    async def test_jobs_that_don_t_fit_complete_from_parts(self) -> None:
+        with mock.patch.object(admission_lib, "MAX_RESERVE_SHARE", 0.5):
+            budget = memory_budget.Budget(20 * MB)
+            _, most = await self.run_jobs(budget)
+        self.assertLess(most, 8 * MB)
+        self.assertGreater(most, MB)
+
+    async def test_bodies_are_read_once_while_memory_suffices(self) -> None:
+        read: Counter[str] = Counter()
+        store_read = faulty.FaultyStore.read
+
+        async def count(store: faulty.FaultyStore, key: str) -> Any:
+            read[key] += 1
+            return await store_read(store, key)
+
+        with mock.patch.object(faulty.FaultyStore, "read", count):
+            await self.run_jobs(site_lib.make_budget())
+        counts = {
+            key: number
+            for key, number in read.items()
+            if key.startswith(records.ITEMS)
+        }
+        self.assertEqual(set(counts.values()), {1})
+        self.assertEqual(len(counts), COUNT * 4)
+
+
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def run_load(self, load: memory_load.Load) -> memory_load.Row:
         with contextlib.ExitStack() as stack:
@@ -179,6 +303,71 @@
             with anyio.fail_after(60.0):
                 return await memory_load.run_load(load, pathlib.Path(folder))
 
+    async def test_jobs_beyond_the_memory_complete(self) -> None:
+        item = calls.BatchItem("i", "/batch/a", {}, bytes(2_800_000))
+        async with contextlib.AsyncExitStack() as stack:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            server = await asyncio.start_server(
+                memory_load._serve_endpoint, ports.HOST, 0
+            )
+            await stack.enter_async_context(server)
+            running = await stack.enter_async_context(
+                processes.run_processes(pathlib.Path(folder))
+            )
+            store_port = ports.pick_port()
+            running.start(
+                "store", "eelgrassgate.standins.kv", ["--port", str(store_port)]
+            )
+            await processes.wait_until_open(store_port)
+            address = f"{ports.HOST}:{store_port}"
+            endpoint_port = server.sockets[0].getsockname()[1]
+            await memory_load._write_documents(
+                f"http://{address}", f"{ports.HOST}:{endpoint_port}"
+            )
+            store = kv.create_kv_store(address)
+            for number in range(STORED_JOBS):
+                accepted = await submission.submit(
+                    store,
+                    msgspec.structs.replace(
+                        test_batches.make_call(remaining_s=TIMEOUT_S),
+                        id=f"j{number}",
+                        host=memory_load.HOST,
+                    ),
+                    test_batches.ROUTE,
+                    site_lib.WORKSPACE,
+                    test_batches.split_items((item,)),
+                    1,
+                )
+                self.assertEqual(accepted.outcome, submission.Outcome.DONE)
+            settings = memory_load._write_settings(
+                pathlib.Path(folder), "batch", "127.93.7.3", address
+            )
+            batch = running.start(
+                "batch",
+                "eelgrassgate.platform",
+                ["batch"],
+                {"EELGRASSGATE_BOOT": str(settings), "PATH": ""},
+            )
+            with anyio.move_on_after(45.0):
+                while await self.count_closed(store) < STORED_JOBS:
+                    await anyio.sleep(0.5)
+            self.assertTrue(batch.is_running())
+            self.assertLess(read_peak_mb(batch.pid), memory_load.MEMORY_MB)
+            self.assertEqual(await self.count_closed(store), STORED_JOBS)
+            await store.close()
+
+    async def count_closed(self, store: kv.KvStore) -> int:
+        closed = 0
+        after = ""
+        while True:
+            page = (await store.read_range(records.HEADS, after=after)).unwrap()
+            closed += sum(
+                records.decode_head(one.value).is_closed for one in page.records
+            )
+            if not page.has_more:
+                return closed
+            after = page.records[-1].key
+
     async def test_large_jobs_at_once_stay_within_the_memory(self) -> None:
         async def send_job(number: int) -> str:
             send: Any = memory_load._send_job
