Charge outputs of batch items until they are committed

Callers saw: while the key-value service is away, items go on running, and a batch process keeps all their results, up to 650 kB each, until it runs out of memory and ends (FAULT); the results are lost with it.

Cause: something that others choose grows in a process without a bound of that process: outputs of running items, partial outputs of interrupted ones and results that wait for a commit.

Now they are charged every 50 ms. Bodies that can be read again, and results that are kept for readers, give way to them. Without room no item starts, and partial outputs are dropped, the last started first; their items run again. The item that has run longest goes on, and no result is dropped.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -90,10 +90,14 @@
 
         It may be a fault of the endpoint.
         """
+        self.discard_output()
+        self.oversized_runs += 1
+
+    def discard_output(self) -> None:
+        """Drop the output so far; the next run starts anew."""
         self.event_data = []
         self.last_event = ""
         self.output_bytes = 0
-        self.oversized_runs += 1
 
 
 async def run(
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -53,6 +53,8 @@
 MAX_CACHED_BYTES: Final = 20_000_000
 # Holder of the requests of running items in the memory budget.
 SENT: Final = "sent"
+# Holder of outputs that are not committed.
+OUTPUTS: Final = "outputs"
 # Bounds the connections of one process.
 MAX_RUNNING_ITEMS: Final = 200
 
@@ -73,7 +75,9 @@
         endpoint: The endpoint.
         cancel_scope: Cancels the run.
         started_at: Monotonic time of its start.
-        is_preempted: Whether it was stopped for an online request.
+        is_preempted: Whether it was stopped for an online request or for lack
+            of memory.
+        is_discarded: Whether its output is dropped when it has stopped.
     """
 
     owned: ownership.OwnedJob
@@ -82,6 +86,7 @@
     cancel_scope: anyio.CancelScope
     started_at: float
     is_preempted: bool = False
+    is_discarded: bool = False
 
 
 class Owner(reports_lib.ReportListener):
@@ -108,6 +113,8 @@
         self._is_loading_part = False
         # Requests are held a second time while they are sent.
         self._sent_account = budget.open(memory_budget.Kind.JOB, SENT)
+        self._outputs_account = budget.open(memory_budget.Kind.RESULT, OUTPUTS)
+        self._lacks_output_memory = False
         budget.add_cache(self._evict_cached_job)
         budget.add_cache(self._unload_items)
         budget.add_cache(self._evict_committed)
@@ -223,6 +230,7 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 self._check_lease()
+                self._charge_outputs()
                 if not self.is_draining:
                     self._close_cancelled(tasks)
                     self._claim_available(tasks)
@@ -408,6 +416,8 @@
 
     def _start_items(self, tasks: abc.TaskGroup) -> None:
         """Start waiting items, in order of rank, at endpoints with room."""
+        if self._lacks_output_memory:
+            return
         waiting = self._rank_waiting()
         now = deadlines.now()
         self._next_start_by_endpoint = {
@@ -776,8 +786,72 @@
             if progress.oversized_runs >= route.max_attempts:
                 # Becomes a dead letter when its retention ends.
                 self._paused_until_by_item[progress.item.id] = deadlines.NEVER
+        if run.is_discarded:
+            progress.discard_output()
         run.owned.waiting.insert(0, progress)
 
+    def _charge_outputs(self) -> None:
+        """Charge the outputs that are not committed.
+
+        While there is no room for them, no item starts, and the output of
+        items that can run again is dropped.
+        """
+        size = sum(
+            owned.measure_outputs() for owned in self._owned_by_id.values()
+        ) + sum(
+            run.progress.output_bytes
+            for run in self._runs
+            if not run.is_discarded
+        )
+        missing = size - self._outputs_account.held_bytes
+        self._outputs_account.shrink(max(0, -missing))
+        lacks_memory = missing > 0 and not self._try_hold_outputs(missing)
+        if lacks_memory:
+            self._discard_outputs(missing)
+        if lacks_memory != self._lacks_output_memory:
+            self._lacks_output_memory = lacks_memory
+            logs.log_message(
+                "items held back" if lacks_memory else "items resumed",
+                reason="memory",
+                outputs_bytes=size,
+                running=len(self._runs),
+            )
+
+    def _try_hold_outputs(self, size: int) -> bool:
+        """Charge outputs; what can be read again gives way."""
+        while not self._outputs_account.try_keep(size):
+            if not (
+                self._evict_cached_job()
+                or self._evict_committed()
+                or self._unload_items()
+            ):
+                return False
+        return True
+
+    def _discard_outputs(self, size: int) -> None:
+        """Drop partial outputs, first of waiting items, then of running ones.
+
+        The item that has run longest goes on.
+        """
+        partial = [
+            (owned.job.due, progress)
+            for owned in self._owned_by_id.values()
+            for progress in owned.waiting
+            if progress.output_bytes
+        ]
+        partial.sort(key=lambda one: one[0])
+        while partial and size > 0:
+            _, progress = partial.pop()
+            size -= progress.output_bytes
+            progress.discard_output()
+        runs = sorted(self._runs, key=lambda run: run.started_at)[1:]
+        while runs and size > 0:
+            run = runs.pop()
+            if not run.is_discarded and run.progress.output_bytes:
+                size -= run.progress.output_bytes
+                run.is_discarded = run.is_preempted = True
+                run.cancel_scope.cancel()
+
     def handle_report(self, report: reports_lib.Report) -> None:
         """Note whether online requests are reported."""
         self._has_online_reports |= bool(report.online_by_endpoint)
--- a/eelgrassgate/batches/ownership.py
+++ b/eelgrassgate/batches/ownership.py
@@ -115,6 +115,12 @@
         """Return whether results or a pending transaction await a commit."""
         return bool(self.uncommitted or self._pending)
 
+    def measure_outputs(self) -> int:
+        """Return the bytes of outputs that are not committed nor running."""
+        return records.count_memory(self.uncommitted) + sum(
+            progress.output_bytes for progress in self.waiting
+        )
+
     def is_finished(self) -> bool:
         """Return whether every item has ended."""
         return not self.waiting and not self.running
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -19,6 +19,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission as admission_lib
+from eelgrassgate.batches import items as items_lib
 from eelgrassgate.batches import records
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
@@ -37,6 +38,9 @@
 LIMIT: Final = 100 * MB
 LARGE: Final = 10 * MB
 SMALL: Final = 10_000
+# Items with outputs of this size.
+OUTPUTS: Final = 60
+OUTPUT_BYTES: Final = 600_000
 # Jobs of 2.8 MB each, in values of one item.
 COUNT: Final = 6
 ITEMS: Final = 4
@@ -241,6 +245,49 @@
                 self.assertEqual(sorted(found), [f"i{n}" for n in range(ITEMS)])
         return harness, most
 
+    async def test_outputs_stay_within_the_memory_in_an_outage(self) -> None:
+        budget = memory_budget.Budget(20 * MB)
+        items = tuple(
+            calls.BatchItem(f"i{number}", "/batch/1", {}, b"q")
+            for number in range(OUTPUTS)
+        )
+        is_down = anyio.Event()
+
+        async def run(*args: Any) -> tuple[items_lib.Outcome, str]:
+            progress: items_lib.Progress = args[6]
+            await is_down.wait()
+            progress.event_data = ["x" * OUTPUT_BYTES]
+            progress.output_bytes = OUTPUT_BYTES
+            await anyio.sleep(0.1)
+            return items_lib.Outcome.COMPLETE, ""
+
+        most = 0
+        with mock.patch.object(items_lib, "run", run):
+            async with test_batches.open_harness(budget=budget) as harness:
+                owner: Any = harness.owner
+                await test_batches.submit(harness.store, items=items)
+                await harness.wait(lambda: owner.count_running() > 3)
+                harness.store.faults.is_down = True
+                is_down.set()
+                for _ in range(100):
+                    held = sum(
+                        owned.measure_outputs()
+                        for owned in owner._owned_by_id.values()
+                    ) + sum(run.progress.output_bytes for run in owner._runs)
+                    most = max(most, held)
+                    await anyio.sleep(0.02)
+                harness.store.faults.is_down = False
+                with anyio.fail_after(20.0):
+                    while not await self.is_closed(harness, [test_batches.JOB]):
+                        await anyio.sleep(0.02)
+                found = await self.read_listed(harness, test_batches.JOB)
+        self.assertEqual(
+            sorted(found), sorted(f"i{number}" for number in range(OUTPUTS))
+        )
+        self.assertGreater(most, 5 * MB)
+        # Half of the budget, and what runs when the limit is met.
+        self.assertLess(most, 20 * MB)
+
     async def is_closed(
         self, harness: test_batches.Harness, names: list[str]
     ) -> bool:
