--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -66,6 +66,10 @@
         prompt_parts: The item's `calls.Call.prompt_parts`.
         output_bytes: Size of `event_data` as JSON.
         oversized_runs: Number of runs whose output was too large.
+        part: Number of the stored value in which the item starts.
+        place: Its place among the items that start there.
+        held_bytes: Memory that the item is charged for.
+        is_loaded: Whether `item` has its headers and its body.
     """
 
     item: calls.BatchItem
@@ -78,16 +82,24 @@
     prompt_parts: tuple[str, ...] | None = None
     output_bytes: int = 0
     oversized_runs: int = 0
+    part: int = 0
+    place: int = 0
+    held_bytes: int = 0
+    is_loaded: bool = True
 
     def discard_oversized(self) -> None:
         """Drop an output too large for a result; the next run starts anew.
 
         It may be a fault of the endpoint.
         """
+        self.discard_output()
+        self.oversized_runs += 1
+
+    def discard_output(self) -> None:
+        """Drop the output so far; the next run starts anew."""
         self.event_data = []
         self.last_event = ""
         self.output_bytes = 0
-        self.oversized_runs += 1
 
 
 async def run(
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -1,6 +1,7 @@
 """Claims open jobs and runs their items between online requests."""
 
 from collections.abc import Callable
+import sys
 import time
 from typing import Final
 import urllib.parse
@@ -12,8 +13,10 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate import outcomes
 from eelgrassgate.batches import items
+from eelgrassgate.batches import job_memory
 from eelgrassgate.batches import ownership
 from eelgrassgate.batches import records
 from eelgrassgate.batches import scheduling
@@ -43,7 +46,11 @@
 # Bound on the cached results of closed jobs, a tenth of a small instance's
 # memory.
 MAX_CACHED_BYTES: Final = 20_000_000
-# Bounds the memory and the connections of one process.
+# Holder of the requests of running items in the memory budget.
+SENT: Final = "sent"
+# Holder of outputs that are not committed.
+OUTPUTS: Final = "outputs"
+# Bounds the connections of one process.
 MAX_RUNNING_ITEMS: Final = 200
 
 
@@ -63,7 +70,9 @@
         endpoint: The endpoint.
         cancel_scope: Cancels the run.
         started_at: Monotonic time of its start.
-        is_preempted: Whether it was stopped for an online request.
+        is_preempted: Whether it was stopped for an online request or for lack
+            of memory.
+        is_discarded: Whether its output is dropped when it has stopped.
     """
 
     owned: ownership.OwnedJob
@@ -72,6 +81,7 @@
     cancel_scope: anyio.CancelScope
     started_at: float
     is_preempted: bool = False
+    is_discarded: bool = False
 
 
 class Owner(reports_lib.ReportListener):
@@ -91,8 +101,18 @@
         quarantine: quarantine_lib.Quarantine,
         read_catalog: Callable[[], catalog.Catalog],
         metrics: metrics_lib.Metrics,
+        budget: memory_budget.Budget,
     ) -> None:
         """Create an owner; see `create_owner`."""
+        self._memory = job_memory.create_job_memory(budget)
+        self._is_loading_part = False
+        # Requests are held a second time while they are sent.
+        self._sent_account = budget.open(memory_budget.Kind.JOB, SENT)
+        self._outputs_account = budget.open(memory_budget.Kind.RESULT, OUTPUTS)
+        self._lacks_output_memory = False
+        budget.add_cache(self._evict_cached_job)
+        budget.add_cache(self._unload_items)
+        budget.add_cache(self._evict_committed)
         self._store = store
         self._open_mirror = open_mirror
         self._member = member
@@ -179,6 +199,8 @@
         owned = self._owned_by_id.get(name)
         if owned is None or not owned.is_claimed() or not owned.is_synced():
             return None
+        if not owned.has_committed:
+            return None
         return owned if self._registration.is_valid() else None
 
     def _stop_cancelled_job(self, job: str) -> None:
@@ -203,10 +225,12 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 self._check_lease()
+                self._charge_outputs()
                 if not self.is_draining:
                     self._close_cancelled(tasks)
                     self._claim_available(tasks)
                     self._start_items(tasks)
+                    self._load_bodies(tasks)
                 self._preempt_items()
                 await anyio.sleep(POLL_INTERVAL_S)
 
@@ -224,6 +248,7 @@
             return
         now = deadlines.now()
         members = self._directory.get_names(registry.Role.BATCH)
+        is_short = self._find_unloaded() is not None
         for name, job in list(self._jobs_by_id.items()):
             if name in self._owned_by_id:
                 continue
@@ -240,9 +265,12 @@
             turn = len(order)
             if self._member.name in order:
                 turn = order.index(self._member.name)
+            if is_short:
+                # Others may have memory for the job.
+                turn += len(order)
             if claim is not None or now - since >= turn * CLAIM_STAGGER_S:
                 owned = ownership.create_owned_job(
-                    self._store, job.job, job.revision
+                    self._store, job.job, job.revision, self._memory
                 )
                 if claim is not None:
                     owned.replace_claim(claim.revision)
@@ -266,14 +294,27 @@
 
     def _cache_job(self, name: str, owned: ownership.OwnedJob) -> None:
         """Cache a closed job's results for readers; evicts the oldest jobs."""
+        if not owned.has_committed:
+            owned.release_memory()
+            return
         self._cached_by_id[name] = owned
         size = sum(
             records.count_memory(cached.committed)
             for cached in self._cached_by_id.values()
         )
         while size > MAX_CACHED_BYTES and len(self._cached_by_id) > 1:
-            dropped = self._cached_by_id.pop(next(iter(self._cached_by_id)))
-            size -= records.count_memory(dropped.committed)
+            size -= records.count_memory(
+                next(iter(self._cached_by_id.values())).committed
+            )
+            self._evict_cached_job()
+
+    def _evict_cached_job(self) -> bool:
+        """Drop the closed job that was cached first."""
+        if not self._cached_by_id:
+            return False
+        dropped = self._cached_by_id.pop(next(iter(self._cached_by_id)))
+        dropped.release_memory()
+        return True
 
     def _is_stale_claim(self, claim: base.Record) -> bool:
         """Return whether a claim keeps an untracked job from being claimed.
@@ -317,7 +358,9 @@
             if self._owned_by_id.get(name) is owned:
                 del self._owned_by_id[name]
             self._unclaimed_since_by_job.pop(name, None)
-        if not owned.is_open():
+        if owned.is_open():
+            owned.release_memory()
+        else:
             self._closed_jobs.add(name)
             self._cache_job(name, owned)
 
@@ -368,6 +411,8 @@
 
     def _start_items(self, tasks: abc.TaskGroup) -> None:
         """Start waiting items, in order of rank, at endpoints with room."""
+        if self._lacks_output_memory:
+            return
         waiting = self._rank_waiting()
         now = deadlines.now()
         self._next_start_by_endpoint = {
@@ -380,9 +425,14 @@
             return endpoint.id not in self._next_start_by_endpoint
 
         full: set[str] = set()
+        too_large = sys.maxsize
         for owned, progress in waiting:
             if len(self._runs) >= MAX_RUNNING_ITEMS:
                 return
+            # Its body may have given way for an item before.
+            is_held = progress.is_loaded
+            if not is_held or len(progress.item.body) >= too_large:
+                continue
             route = self._find_route(owned, progress)
             if route is None:
                 continue
@@ -404,6 +454,9 @@
                 if not progress.failed_endpoints:
                     full.add(service)
                 continue
+            if not self._try_hold_request(owned, progress):
+                too_large = len(progress.item.body)
+                continue
             self._next_start_by_endpoint[endpoint.id] = now + (
                 scheduling.PREFERRED_START_INTERVAL_S
                 if self._is_preferred(endpoint)
@@ -411,6 +464,90 @@
             )
             self._start_item(tasks, owned, progress, endpoint, route)
 
+    def _load_bodies(self, tasks: abc.TaskGroup) -> None:
+        """Read the bodies of the most urgent items that lack them."""
+        found = None if self._is_loading_part else self._find_unloaded()
+        if found is None:
+            return
+        owned, part = found
+        if not self._make_room(lambda: owned.try_hold_part(part), owned):
+            return
+        self._is_loading_part = True
+        tasks.start_soon(self._load_part, owned, part)
+
+    def _make_room(
+        self, try_charge: Callable[[], bool], owned: ownership.OwnedJob
+    ) -> bool:
+        """Charge something for a job; what is less urgent gives way."""
+        while not try_charge():
+            if not self._evict_cached_job() and not self._unload_items(owned):
+                return False
+        return True
+
+    def _find_unloaded(self) -> tuple[ownership.OwnedJob, int] | None:
+        """Return the most urgent job that has items without their bodies.
+
+        Also returns the value that holds the first of them that can start.
+        """
+        owned_jobs = [
+            owned for owned in self._owned_by_id.values() if owned.is_claimed()
+        ]
+        owned_jobs.sort(key=lambda owned: owned.job.due)
+        for owned in owned_jobs:
+            part = owned.find_unloaded_part(self._can_start)
+            if part is not None:
+                return owned, part
+        return None
+
+    async def _load_part(self, owned: ownership.OwnedJob, part: int) -> None:
+        try:
+            await owned.load_part(part)
+        except ownership.StoreFailedError as error:
+            logs.log_message(
+                "job store call failed", job=owned.id, reason=str(error)
+            )
+            await anyio.sleep(STORE_RETRY_DELAY_S)
+        finally:
+            self._is_loading_part = False
+
+    def _unload_items(self, urgent: ownership.OwnedJob | None = None) -> bool:
+        """Drop the bodies of items of one value; returns whether it did.
+
+        Items that can't start now come first, then those of the jobs due last.
+
+        Args:
+            urgent: A job for which no job that is due before gives way.
+        """
+        candidates = [
+            (not self._can_start(progress), owned.job.due, owned, progress)
+            for owned in self._owned_by_id.values()
+            for progress in owned.waiting
+            if progress.is_loaded
+        ]
+        if urgent is not None:
+            candidates = [
+                one for one in candidates if one[0] or one[1] > urgent.job.due
+            ]
+        if not candidates:
+            return False
+        must_wait, _, owned, progress = max(candidates, key=lambda one: one[:2])
+        owned.unload_part(
+            progress.part, lambda one: not (must_wait and self._can_start(one))
+        )
+        return True
+
+    def _evict_committed(self) -> bool:
+        """Drop the results of the open job that keeps most for readers."""
+        kept = [one for one in self._owned_by_id.values() if one.committed]
+        if not kept:
+            return False
+        sizes = [records.count_memory(one.committed) for one in kept]
+        kept[sizes.index(max(sizes))].drop_committed()
+        return True
+
+    def _can_start(self, progress: items.Progress) -> bool:
+        return self._can_retry(progress) and not self._is_held_back(progress)
+
     def _is_preferred(self, endpoint: catalog.Endpoint) -> bool:
         """Return whether this process is the preferred one for an endpoint.
 
@@ -448,7 +585,7 @@
             for owned in self._owned_by_id.values()
             if owned.is_claimed()
             for progress in owned.waiting
-            if self._can_retry(progress) and not self._is_held_back(progress)
+            if progress.is_loaded and self._can_start(progress)
         ]
         ranked.sort(key=lambda one: one[:2])
         return [(owned, progress) for _, _, owned, progress in ranked]
@@ -469,6 +606,8 @@
         return self._quarantine.find_quarantined(parts) is not None
 
     def _get_prompt_parts(self, progress: items.Progress) -> tuple[str, ...]:
+        if progress.prompt_parts is None and not progress.is_loaded:
+            return ()
         if progress.prompt_parts is None:
             progress.prompt_parts = items.read_prompt_parts(
                 self._dialect, progress.item
@@ -492,6 +631,19 @@
             owned.record_result(progress, records.DEAD_LETTER, "no route")
         return route
 
+    def _try_hold_request(
+        self, owned: ownership.OwnedJob, progress: items.Progress
+    ) -> bool:
+        """Take a waiting item, with memory for its request."""
+        size = len(progress.item.body)
+        # Bodies of waiting items give way, but not its own.
+        position = owned.waiting.index(progress)
+        del owned.waiting[position]
+        if self._make_room(lambda: self._sent_account.try_keep(size), owned):
+            return True
+        owned.waiting.insert(position, progress)
+        return False
+
     def _start_item(
         self,
         tasks: abc.TaskGroup,
@@ -500,7 +652,6 @@
         endpoint: catalog.Endpoint,
         route: catalog.Route,
     ) -> None:
-        owned.waiting.remove(progress)
         owned.running[progress.item.id] = progress
         self._placement.record_sending(endpoint)
         run = _Run(
@@ -548,6 +699,7 @@
         finally:
             tracking.__exit__(None, None, None)  # type: ignore[attr-defined]
             self._runs.remove(run)
+            self._sent_account.shrink(len(run.progress.item.body))
             run.owned.running.pop(run.progress.item.id, None)
         self._handle_outcome(run, outcome, reason, route)
 
@@ -631,8 +783,72 @@
             if progress.oversized_runs >= route.max_attempts:
                 # Becomes a dead letter when its retention ends.
                 self._paused_until_by_item[progress.item.id] = deadlines.NEVER
+        if run.is_discarded:
+            progress.discard_output()
         run.owned.waiting.insert(0, progress)
 
+    def _charge_outputs(self) -> None:
+        """Charge the outputs that are not committed.
+
+        While there is no room for them, no item starts, and the output of
+        items that can run again is dropped.
+        """
+        size = sum(
+            owned.measure_outputs() for owned in self._owned_by_id.values()
+        ) + sum(
+            run.progress.output_bytes
+            for run in self._runs
+            if not run.is_discarded
+        )
+        missing = size - self._outputs_account.held_bytes
+        self._outputs_account.shrink(max(0, -missing))
+        lacks_memory = missing > 0 and not self._try_hold_outputs(missing)
+        if lacks_memory:
+            self._discard_outputs(missing)
+        if lacks_memory != self._lacks_output_memory:
+            self._lacks_output_memory = lacks_memory
+            logs.log_message(
+                "items held back" if lacks_memory else "items resumed",
+                reason="memory",
+                outputs_bytes=size,
+                running=len(self._runs),
+            )
+
+    def _try_hold_outputs(self, size: int) -> bool:
+        """Charge outputs; what can be read again gives way."""
+        while not self._outputs_account.try_keep(size):
+            if not (
+                self._evict_cached_job()
+                or self._evict_committed()
+                or self._unload_items()
+            ):
+                return False
+        return True
+
+    def _discard_outputs(self, size: int) -> None:
+        """Drop partial outputs, first of waiting items, then of running ones.
+
+        The item that has run longest goes on.
+        """
+        partial = [
+            (owned.job.due, progress)
+            for owned in self._owned_by_id.values()
+            for progress in owned.waiting
+            if progress.output_bytes
+        ]
+        partial.sort(key=lambda one: one[0])
+        while partial and size > 0:
+            _, progress = partial.pop()
+            size -= progress.output_bytes
+            progress.discard_output()
+        runs = sorted(self._runs, key=lambda run: run.started_at)[1:]
+        while runs and size > 0:
+            run = runs.pop()
+            if not run.is_discarded and run.progress.output_bytes:
+                size -= run.progress.output_bytes
+                run.is_discarded = run.is_preempted = True
+                run.cancel_scope.cancel()
+
     def handle_report(self, report: reports_lib.Report) -> None:
         """Note whether online requests are reported."""
         self._has_online_reports |= bool(report.online_by_endpoint)
@@ -732,6 +948,7 @@
     quarantine: quarantine_lib.Quarantine,
     read_catalog: Callable[[], catalog.Catalog],
     metrics: metrics_lib.Metrics,
+    budget: memory_budget.Budget,
 ) -> Owner:
     """Create an owner.
 
@@ -748,6 +965,7 @@
         quarantine: Tells which items would crash endpoints.
         read_catalog: Returns the current configuration.
         metrics: Receives counts and run times of items.
+        budget: The memory budget of the process.
     """
     return Owner(
         store,
@@ -762,4 +980,5 @@
         quarantine,
         read_catalog,
         metrics,
+        budget,
     )
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -7,6 +7,7 @@
 
 from eelgrassgate import binding
 from eelgrassgate import logs
+from eelgrassgate.batches import admission
 from eelgrassgate.batches import intake
 from eelgrassgate.batches import results
 from eelgrassgate.gateway import batch_calls
@@ -46,7 +47,10 @@
             self._shutdown,
         )
         reader = results.create_reader(
-            adapters.store, node.directory, node.reports.is_directly_reachable
+            adapters.store,
+            node.directory,
+            node.reports.is_directly_reachable,
+            node.budget,
         )
         self._service = service_lib.create_service(
             node.discovery.get_catalog,
@@ -61,6 +65,9 @@
                 reader,
                 adapters.dialect,
                 adapters.batch_dialect,
+                admission.create_admission(
+                    node.budget, admission.SUBMISSION_RESERVE_BYTES
+                ),
             ),
             node.metrics,
             self._shutdown,
--- a/tests/site.py
+++ b/tests/site.py
@@ -11,6 +11,8 @@
 import h11
 
 from eelgrassgate import deadlines
+from eelgrassgate import memory_budget
+from eelgrassgate.batches import admission
 from eelgrassgate.batches import intake
 from eelgrassgate.batches import results
 from eelgrassgate.gateway import batch_calls
@@ -180,12 +182,18 @@
             return
 
 
+def make_budget() -> memory_budget.Budget:
+    """Return the budget of a process with 300 MB."""
+    return memory_budget.create_budget(300 * memory_budget.BYTES_PER_MB)
+
+
 class BatchCallsStub:
     """Stub of the batch job API that parses calls and accepts jobs.
 
     Attributes:
         submissions: The store that holds accepted jobs.
         intake: Decides whether that store can accept jobs.
+        admission: Decides when there is memory to accept a job.
     """
 
     def __init__(self) -> None:
@@ -193,6 +201,10 @@
         self.intake = intake.create_intake(
             self.submissions, contact.create_contact()
         )
+        self.admission = admission.create_admission(
+            make_budget(),
+            admission.SUBMISSION_RESERVE_BYTES,
+        )
 
     def read_job_call(self, call: Any) -> Any:
         return platform_batch_calls.PlatformBatchDialect().read_job_call(call)
@@ -211,10 +223,11 @@
             self.submissions,
             self.intake,
             results.create_reader(
-                self.submissions, directory, lambda name: False
+                self.submissions, directory, lambda name: False, make_budget()
             ),
             dialect.PlatformDialect(),
             platform_batch_calls.PlatformBatchDialect(),
+            self.admission,
         )
 
 
--- /dev/null
+++ b/tests/test_memory_of_jobs.py
@@ -0,0 +1,428 @@
+"""Memory that jobs take while they are accepted, run and read."""
+
+import asyncio
+from collections import Counter
+import contextlib
+import pathlib
+import tempfile
+from typing import Any
+from typing import Final
+import unittest
+from unittest import mock
+
+import anyio
+import msgspec
+
+from bench import memory_load
+from bench import ports
+from bench import processes
+from eelgrassgate import deadlines
+from eelgrassgate import memory_budget
+from eelgrassgate.batches import admission as admission_lib
+from eelgrassgate.batches import items as items_lib
+from eelgrassgate.batches import records
+from eelgrassgate.batches import submission
+from eelgrassgate.gateway import calls
+from eelgrassgate.platform import kv
+from eelgrassgate.store import faulty
+from eelgrassgate.store import memory
+from tests import site as site_lib
+from tests import test_batches
+from tests import test_forwarding
+
+TIMEOUT_S: Final = 10.0
+MB: Final = memory_budget.BYTES_PER_MB
+JOB: Final = memory_budget.Kind.JOB
+# Budget in which one large submission fits into the reserve, and one holder's
+# share has room for another.
+LIMIT: Final = 100 * MB
+LARGE: Final = 10 * MB
+SMALL: Final = 10_000
+# Items with outputs of this size.
+OUTPUTS: Final = 60
+OUTPUT_BYTES: Final = 600_000
+# Jobs of 2.8 MB each, in values of one item.
+COUNT: Final = 6
+ITEMS: Final = 4
+ITEM_BYTES: Final = 690_000
+# Jobs of one item of 2.8 MB that wait for a process that starts.
+STORED_JOBS: Final = 80
+# As many jobs of the largest size as half the memory holds the bodies of.
+JOBS: Final = 24
+
+
+def read_peak_mb(pid: int) -> int:
+    """Return the peak of a process's resident memory."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["VmHWM"].split()[0]) * 1024 // MB
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.budget = memory_budget.Budget(LIMIT)
+        self.admission = admission_lib.create_admission(
+            self.budget, admission_lib.SUBMISSION_RESERVE_BYTES
+        )
+        self.at_rest = self.budget.held_bytes
+        self.started: list[str] = []
+        self.ended = anyio.Event()
+
+    def fill(self, *holders: str) -> list[memory_budget.Account]:
+        """Take all that large accounts of these holders may take."""
+        accounts = []
+        for holder in holders:
+            account = self.budget.open(memory_budget.Kind.REQUEST, holder)
+            while account.try_grow(MB // 4):
+                pass
+            accounts.append(account)
+        return accounts
+
+    async def hold(
+        self, name: str, size: int, remaining_s: float = TIMEOUT_S
+    ) -> None:
+        deadline = deadlines.after(remaining_s)
+        async with self.admission.admit(name, size, deadline) as is_admitted:
+            self.started.append(name if is_admitted else f"{name} refused")
+            if is_admitted:
+                await self.ended.wait()
+
+    async def settle(self) -> None:
+        for _ in range(20):
+            await anyio.lowlevel.checkpoint()
+
+    async def test_jobs_take_turns_while_memory_is_short(self) -> None:
+        accounts = self.fill("x", "y")
+        async with anyio.create_task_group() as tasks:
+            for name in ("a", "b", "c"):
+                tasks.start_soon(self.hold, name, LARGE)
+                await self.settle()
+            self.assertEqual(self.started, ["a"])
+            tasks.start_soon(self.hold, "small", SMALL)
+            await self.settle()
+            self.assertEqual(self.started, ["a", "small"])
+            for _ in ("b", "c"):
+                ended, self.ended = self.ended, anyio.Event()
+                ended.set()
+                await self.settle()
+            self.assertEqual(self.started, ["a", "small", "b", "c"])
+            self.ended.set()
+        for account in accounts:
+            account.close()
+        self.assertEqual(self.budget.held_bytes, self.at_rest)
+
+    async def test_jobs_don_t_wait_while_memory_suffices(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for name in ("a", "b", "c", "d"):
+                tasks.start_soon(self.hold, name, LARGE)
+            await self.settle()
+            self.assertEqual(self.started, ["a", "b", "c", "d"])
+            self.assertLessEqual(self.budget.held_bytes, LIMIT)
+            self.ended.set()
+        self.assertEqual(self.budget.held_bytes, self.at_rest)
+
+    async def test_a_job_is_refused_with_time_left_to_try_elsewhere(
+        self,
+    ) -> None:
+        self.fill("x", "y")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.hold, "a", LARGE)
+            await self.settle()
+            started_at = deadlines.now()
+            await self.hold("b", LARGE, 0.4)
+            self.assertLess(deadlines.now() - started_at, 0.35)
+            self.assertEqual(self.started, ["a", "b refused"])
+            self.ended.set()
+
+    async def test_a_job_that_never_fits_is_refused_at_once(self) -> None:
+        started_at = deadlines.now()
+        await self.hold("a", LIMIT)
+        self.assertLess(deadlines.now() - started_at, 1.0)
+        self.assertEqual(self.started, ["a refused"])
+
+    async def test_cancelled_submissions_give_back_everything(self) -> None:
+        accounts = self.fill("x", "y")
+        for count in range(1, 5):
+            with self.subTest(count):
+                async with anyio.create_task_group() as tasks:
+                    for number in range(count):
+                        tasks.start_soon(self.hold, str(number), LARGE)
+                    await self.settle()
+                    tasks.cancel_scope.cancel()
+        self.started.clear()
+        self.ended.set()
+        await self.hold("a", LARGE)
+        self.assertEqual(self.started, ["a"])
+        for account in accounts:
+            account.close()
+        self.assertEqual(self.budget.held_bytes, self.at_rest)
+
+    async def test_many_headers_count_as_what_they_take(self) -> None:
+        self.assertGreater(
+            admission_lib.measure_submission(b'"":"",' * 100_000), 10 * MB
+        )
+
+
+class ShortMemoryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_job_without_memory_is_refused_unwritten(self) -> None:
+        budget = memory_budget.Budget(LIMIT)
+        store = memory.create_memory_store()
+        async with site_lib.open_site() as site:
+            site.batches.submissions = store
+            site.batches.admission = admission_lib.create_admission(
+                budget, admission_lib.SUBMISSION_RESERVE_BYTES
+            )
+            while budget.open(JOB).try_grow(SMALL):
+                pass
+            for is_unconfirmed, status in ((False, 503), (True, 504)):
+                with (
+                    self.subTest(is_unconfirmed=is_unconfirmed),
+                    mock.patch.object(
+                        site.batches.intake,
+                        "is_unconfirmed",
+                        return_value=is_unconfirmed,
+                    ),
+                    anyio.fail_after(TIMEOUT_S),
+                ):
+                    response = await site_lib.call(
+                        site.address,
+                        "/batch/1",
+                        body=test_forwarding.BATCH_BODY,
+                        remaining_ms=400,
+                    )
+                self.assertEqual(response.status, status)
+                self.assertEqual(
+                    b"retry-after" in response.headers, not is_unconfirmed
+                )
+        page = (await store.read_range(records.JOBS)).unwrap()
+        self.assertEqual(page.records, ())
+
+
+class OwnerTest(unittest.IsolatedAsyncioTestCase):
+    async def run_jobs(
+        self, budget: memory_budget.Budget
+    ) -> tuple[test_batches.Harness, int]:
+        """Run jobs that are larger together than the budget's bodies.
+
+        Returns:
+            The harness and the most bytes of bodies that were held.
+        """
+        items = tuple(
+            calls.BatchItem(f"i{number}", "/batch/1", {}, bytes(ITEM_BYTES))
+            for number in range(ITEMS)
+        )
+        names = [f"job-{number}" for number in range(COUNT)]
+        most = 0
+        async with test_batches.open_harness(budget=budget) as harness:
+            owner: Any = harness.owner
+            for name in names:
+                accepted = await submission.submit(
+                    harness.store,
+                    msgspec.structs.replace(test_batches.make_call(), id=name),
+                    test_batches.ROUTE,
+                    site_lib.WORKSPACE,
+                    test_batches.split_items(items),
+                    1,
+                )
+                self.assertEqual(accepted.outcome, submission.Outcome.DONE)
+            with anyio.fail_after(20.0):
+                while not await self.is_closed(harness, names):
+                    most = max(
+                        most,
+                        sum(
+                            len(progress.item.body)
+                            for owned in owner._owned_by_id.values()
+                            for progress in (
+                                *owned.waiting,
+                                *owned.running.values(),
+                            )
+                        ),
+                    )
+                    self.assertLessEqual(budget.held_bytes, budget.limit_bytes)
+                    await anyio.sleep(0.01)
+            for name in names:
+                found = await self.read_listed(harness, name)
+                self.assertEqual(sorted(found), [f"i{n}" for n in range(ITEMS)])
+        return harness, most
+
+    async def test_outputs_stay_within_the_memory_in_an_outage(self) -> None:
+        budget = memory_budget.Budget(20 * MB)
+        items = tuple(
+            calls.BatchItem(f"i{number}", "/batch/1", {}, b"q")
+            for number in range(OUTPUTS)
+        )
+        is_down = anyio.Event()
+
+        async def run(*args: Any) -> tuple[items_lib.Outcome, str]:
+            progress: items_lib.Progress = args[6]
+            await is_down.wait()
+            progress.event_data = ["x" * OUTPUT_BYTES]
+            progress.output_bytes = OUTPUT_BYTES
+            await anyio.sleep(0.1)
+            return items_lib.Outcome.COMPLETE, ""
+
+        most = 0
+        with mock.patch.object(items_lib, "run", run):
+            async with test_batches.open_harness(budget=budget) as harness:
+                owner: Any = harness.owner
+                await test_batches.submit(harness.store, items=items)
+                await harness.wait(lambda: owner.count_running() > 3)
+                harness.store.faults.is_down = True
+                is_down.set()
+                for _ in range(100):
+                    held = sum(
+                        owned.measure_outputs()
+                        for owned in owner._owned_by_id.values()
+                    ) + sum(run.progress.output_bytes for run in owner._runs)
+                    most = max(most, held)
+                    await anyio.sleep(0.02)
+                harness.store.faults.is_down = False
+                with anyio.fail_after(20.0):
+                    while not await self.is_closed(harness, [test_batches.JOB]):
+                        await anyio.sleep(0.02)
+                found = await self.read_listed(harness, test_batches.JOB)
+        self.assertEqual(
+            sorted(found), sorted(f"i{number}" for number in range(OUTPUTS))
+        )
+        self.assertGreater(most, 5 * MB)
+        # Half of the budget, and what runs when the limit is met.
+        self.assertLess(most, 20 * MB)
+
+    async def is_closed(
+        self, harness: test_batches.Harness, names: list[str]
+    ) -> bool:
+        for name in names:
+            key = f"{records.HEADS}{name}"
+            record = (await harness.store.read(key)).unwrap()
+            if record is None:
+                return False
+            if not records.decode_head(record.value).is_closed:
+                return False
+        return True
+
+    async def read_listed(
+        self, harness: test_batches.Harness, name: str
+    ) -> list[str]:
+        """Return the ids of all results of a job, as the store lists them."""
+        prefix = f"{records.RESULTS}{name}/"
+        page = (await harness.store.read_range(prefix)).unwrap()
+        return [
+            one.id
+            for record in page.records
+            for one in records.decode_results(record.value)
+        ]
+
+    async def test_jobs_that_don_t_fit_complete_from_parts(self) -> None:
+        with mock.patch.object(admission_lib, "MAX_RESERVE_SHARE", 0.5):
+            budget = memory_budget.Budget(20 * MB)
+            _, most = await self.run_jobs(budget)
+        self.assertLess(most, 8 * MB)
+        self.assertGreater(most, MB)
+
+    async def test_bodies_are_read_once_while_memory_suffices(self) -> None:
+        read: Counter[str] = Counter()
+        store_read = faulty.FaultyStore.read
+
+        async def count(store: faulty.FaultyStore, key: str) -> Any:
+            read[key] += 1
+            return await store_read(store, key)
+
+        with mock.patch.object(faulty.FaultyStore, "read", count):
+            await self.run_jobs(site_lib.make_budget())
+        counts = {
+            key: number
+            for key, number in read.items()
+            if key.startswith(records.ITEMS)
+        }
+        self.assertEqual(set(counts.values()), {1})
+        self.assertEqual(len(counts), COUNT * 4)
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def run_load(self, load: memory_load.Load) -> memory_load.Row:
+        with contextlib.ExitStack() as stack:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            for name, ip in (
+                ("GATEWAY_IP", "127.93.7.1"),
+                ("BATCH_IP", "127.93.7.2"),
+            ):
+                stack.enter_context(mock.patch.object(memory_load, name, ip))
+            with anyio.fail_after(60.0):
+                return await memory_load.run_load(load, pathlib.Path(folder))
+
+    async def test_jobs_beyond_the_memory_complete(self) -> None:
+        item = calls.BatchItem("i", "/batch/a", {}, bytes(2_800_000))
+        async with contextlib.AsyncExitStack() as stack:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            server = await asyncio.start_server(
+                memory_load._serve_endpoint, ports.HOST, 0
+            )
+            await stack.enter_async_context(server)
+            running = await stack.enter_async_context(
+                processes.run_processes(pathlib.Path(folder))
+            )
+            store_port = ports.pick_port()
+            running.start(
+                "store", "eelgrassgate.standins.kv", ["--port", str(store_port)]
+            )
+            await processes.wait_until_open(store_port)
+            address = f"{ports.HOST}:{store_port}"
+            endpoint_port = server.sockets[0].getsockname()[1]
+            await memory_load._write_documents(
+                f"http://{address}", f"{ports.HOST}:{endpoint_port}"
+            )
+            store = kv.create_kv_store(address)
+            for number in range(STORED_JOBS):
+                accepted = await submission.submit(
+                    store,
+                    msgspec.structs.replace(
+                        test_batches.make_call(remaining_s=TIMEOUT_S),
+                        id=f"j{number}",
+                        host=memory_load.HOST,
+                    ),
+                    test_batches.ROUTE,
+                    site_lib.WORKSPACE,
+                    test_batches.split_items((item,)),
+                    1,
+                )
+                self.assertEqual(accepted.outcome, submission.Outcome.DONE)
+            settings = memory_load._write_settings(
+                pathlib.Path(folder), "batch", "127.93.7.3", address
+            )
+            batch = running.start(
+                "batch",
+                "eelgrassgate.platform",
+                ["batch"],
+                {"EELGRASSGATE_BOOT": str(settings), "PATH": ""},
+            )
+            with anyio.move_on_after(45.0):
+                while await self.count_closed(store) < STORED_JOBS:
+                    await anyio.sleep(0.5)
+            self.assertTrue(batch.is_running())
+            self.assertLess(read_peak_mb(batch.pid), memory_load.MEMORY_MB)
+            self.assertEqual(await self.count_closed(store), STORED_JOBS)
+            await store.close()
+
+    async def count_closed(self, store: kv.KvStore) -> int:
+        closed = 0
+        after = ""
+        while True:
+            page = (await store.read_range(records.HEADS, after=after)).unwrap()
+            closed += sum(
+                records.decode_head(one.value).is_closed for one in page.records
+            )
+            if not page.has_more:
+                return closed
+            after = page.records[-1].key
+
+    async def test_large_jobs_at_once_stay_within_the_memory(self) -> None:
+        async def send_job(number: int) -> str:
+            send: Any = memory_load._send_job
+            return str(await send(number, 140, 20_000))
+
+        row = await self.run_load(memory_load.Load("jobs", JOBS, send_job))
+        self.assertEqual(row.ended, ())
+        self.assertEqual(set(row.answers), {"202"})
+        self.assertLess(row.gateway_peak_mb, memory_load.MEMORY_MB)
+        self.assertLess(row.batch_peak_mb, memory_load.MEMORY_MB)
+        self.assertEqual(set(row.small_answers), {"200"})
