Keep an error in one attempt or job from ending an agent or entry

What was found by looking for the class "an exception in one part ends the whole" in the other half of the tree: an unexpected error in one attempt ended the agent with all attempts, and one in a job ended the entry. Shown by injected errors only.

Cause: attempts and jobs run in the task group of their process, without a guard of their own. An attempt now fails as one that may have run; a job is logged and tried again after those that wait; a slot whose release fails is released again.

Tests, before: test_error_in_one_attempt_stops_no_other and the case /v1/raising of test_jobs_at_failing_endpoints_do_not_block_others fail with the injected error. After: 33 tests of tests.test_jobs, tests.test_agent_work and tests.test_link pass.

--- a/eelgrassgate/agent/execution.py
+++ b/eelgrassgate/agent/execution.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 
+from eelgrassgate import logs
 from eelgrassgate import outcomes
 from eelgrassgate.agent import attempts
 from eelgrassgate.agent import window as window_lib
@@ -59,7 +60,12 @@
             attempt.scope = scope
             if attempt.stop_reason:
                 scope.cancel()
-            outcome = await self._consume(attempt, running)
+            try:
+                outcome = await self._consume(attempt, running)
+            except Exception:
+                # An error in one attempt must not stop the others.
+                logs.log_exception("attempt:failed", id=attempt.id)
+                outcome = _create_failure("The call failed.")
         attempt.scope = None
         if not isinstance(outcome, Stopped):
             return outcome
--- a/eelgrassgate/jobs/owner.py
+++ b/eelgrassgate/jobs/owner.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio import abc
 
+from eelgrassgate import logs
 from eelgrassgate.config import fleet
 from eelgrassgate.jobs import chunk_stores
 from eelgrassgate.jobs import commits
@@ -25,6 +26,7 @@
 from eelgrassgate.store import base
 
 POLL_INTERVAL_S: Final = 1.0
+RETRY_DELAY_S: Final = 1.0
 RECONCILE_DELAY_S: Final = 0.1
 MAX_CLAIM_SLOTS: Final = 40
 MAX_ACTIVE_JOBS: Final = 64
@@ -215,6 +217,10 @@
             if await slots.release(self._store, self._runtime, slot):
                 slot.mark_lost()
                 self._slots_by_number.pop(slot.number, None)
+        except Exception:
+            # The slot is released again, or expires.
+            logs.log_exception("slot:release_failed", slot=slot.number)
+            await self._runtime.sleep(RETRY_DELAY_S)
         finally:
             del self._slots_by_task[name]
 
@@ -280,6 +286,14 @@
         try:
             with scope:
                 await self._run_claimed_job(slot, entry)
+        except Exception:
+            # An error in one job must not stop the others. It is tried again
+            # after those that wait.
+            logs.log_exception("job:failed", job=job)
+            self._preemptions_by_job[job] = (
+                self._preemptions_by_job.get(job, 0) + 1
+            )
+            await self._runtime.sleep(RETRY_DELAY_S)
         finally:
             slot.scopes.discard(scope)
             self._runners_by_job.pop(job, None)
--- a/tests/test_agent_work.py
+++ b/tests/test_agent_work.py
@@ -72,6 +72,16 @@
         yield base.Failed(refusal, True)
 
 
+class RaisingEndpoint(direct.DirectEndpoint):
+    """Raises an unexpected error in calls that want one token."""
+
+    async def call(self, call: base.Call) -> AsyncIterator[base.Part]:
+        async for part in super().call(call):
+            yield part
+            if b'"max_tokens":1}' in call.body:
+                raise RuntimeError("an injected error")
+
+
 class AgentHarness:
     """An agent with a simulated engine."""
 
@@ -407,6 +417,23 @@
             with self.subTest(is_repeatable=is_repeatable):
                 self.run_scenario(scenario)
 
+    def test_error_in_one_attempt_stops_no_other(self) -> None:
+        async def scenario() -> None:
+            async with run_harness(RaisingEndpoint) as harness:
+                harness.submit("a")
+                harness.submit("b", tokens=1)
+                await anyio.sleep(5)
+                self.assertEqual(
+                    harness.peer.get_refusal("b"),
+                    (Code.ENDPOINT_FAILED, UNKNOWN),
+                )
+                self.assertIsInstance(harness.peer.get_final("a"), messages.End)
+                harness.submit("c")
+                await anyio.sleep(5)
+                self.assertIsInstance(harness.peer.get_final("c"), messages.End)
+
+        self.run_scenario(scenario)
+
     def test_a_slow_reader_delays_only_its_own_stream(self) -> None:
         async def scenario() -> None:
             async with run_harness() as harness:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -250,12 +250,14 @@
 
 
 class _FailingDispatcher(agents.Dispatcher):
-    """A dispatcher for which one path always fails and another one hangs."""
+    """A dispatcher for which one path always fails, one hangs, one raises."""
 
     async def run(self, item: dispatch.ItemCall) -> dispatch.ItemResult:
         if item.path == "/v1/failing":
             refusal = outcomes.refuse(outcomes.Code.ENDPOINT_FAILED, "failing")
             return dispatch.ItemResult("", 0, b"", refusal, True)
+        if item.path == "/v1/raising":
+            raise RuntimeError("an injected error")
         if item.path == "/v1/hanging":
             await anyio.sleep_forever()
         return await super().run(item)
@@ -263,7 +265,7 @@
 
 class StallTest(unittest.TestCase):
     def test_jobs_at_failing_endpoints_do_not_block_others(self) -> None:
-        for path in ("/v1/failing", "/v1/hanging"):
+        for path in ("/v1/failing", "/v1/hanging", "/v1/raising"):
             with self.subTest(path):
                 virtual_time.run(self._check, path)
 
