Keep a failing link from ending an entry or agent

What was found in the same search: a listed instance whose public key is not known here, or one message on which a handler fails, ended the whole process, since all links share its task group. The instance list and messages are written by others.

A client logs what failed and connects again after its usual delay; a server logs a message that can't be handled and goes on with the next.

Tests, before: test_message_that_a_handler_fails_on_ends_no_other_link (both cases) and test_peer_without_a_key_ends_no_other_link fail (`RuntimeError: odd`, `InsecureLinkError: no public key for instance unknown`). After: both pass.

--- a/eelgrassgate/link/client.py
+++ b/eelgrassgate/link/client.py
@@ -9,6 +9,7 @@
 from zmq.utils import monitor as zmq_monitor
 
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate import messages
 from eelgrassgate import settings
 from eelgrassgate.link import base
@@ -102,19 +103,33 @@
     async def run(self) -> None:
         """Connect, and reconnect after each loss, until cancelled."""
         while True:
-            socket = sockets.open_client(
-                self._context, self._address, self._curve, self._instance
-            )
             try:
-                await self._run_connection(socket)
-            finally:
-                socket.close()
+                await self._open_connection()
+            except Exception:
+                # A peer without a key, or a message that can't be handled,
+                # must not end the links to other peers.
+                logs.log_exception("link:failed", peer=self._instance)
             await anyio.sleep(
                 self._random.uniform(
                     MIN_RECONNECT_DELAY_S, MAX_RECONNECT_DELAY_S
                 )
             )
 
+    async def _open_connection(self) -> None:
+        """Connect, and run until the connection is lost.
+
+        Raises:
+            sockets.InsecureLinkError: The address is not loopback and there
+                are no keys, or no key of the peer is known.
+        """
+        socket = sockets.open_client(
+            self._context, self._address, self._curve, self._instance
+        )
+        try:
+            await self._run_connection(socket)
+        finally:
+            socket.close()
+
     async def _run_connection(self, socket: zmq.asyncio.Socket) -> None:
         await socket.send(messages.encode(self._hello))
         hello = None
@@ -214,12 +229,7 @@
     curve: settings.Curve | None = None,
     read_config_status: base.ReadConfigStatus = server.get_empty_config_status,
 ) -> None:
-    """Maintain a connection to `instance` at `address` until cancelled.
-
-    Raises:
-        sockets.InsecureLinkError: The address is not loopback and there are
-            no keys, or no key of `instance` is known.
-    """
+    """Maintain a connection to `instance` at `address` until cancelled."""
     client = Client(
         context, address, instance, hello, handler, curve, read_config_status
     )
--- a/eelgrassgate/link/server.py
+++ b/eelgrassgate/link/server.py
@@ -8,6 +8,7 @@
 import zmq.asyncio
 
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate import messages
 from eelgrassgate import settings
 from eelgrassgate.link import base
@@ -84,7 +85,11 @@
                     message = messages.decode(data)
                 except messages.BadMessageError:
                     continue
-                self._handle(identity, message, tasks)
+                try:
+                    self._handle(identity, message, tasks)
+                except Exception:
+                    # One message must not end the links to all peers.
+                    logs.log_exception("link:message_failed")
 
     def _handle(
         self,
@@ -125,7 +130,10 @@
             await anyio.sleep(deadlines.compute_remaining(peer.times_out_at))
         del self._peers_by_identity[identity]
         peer.is_open = False
-        self._handler.disconnect(peer)
+        try:
+            self._handler.disconnect(peer)
+        except Exception:
+            logs.log_exception("link:failed", peer=peer.hello.instance)
 
     def _create_ack(
         self, heartbeat: messages.Heartbeat
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,3 +1,4 @@
+import functools
 import unittest
 
 import anyio
@@ -182,6 +183,73 @@
         with self.assertRaises(sockets.InsecureLinkError):
             await server.serve("192.0.2.1:0", make_hello("a"), Recorder())
 
+    async def test_message_that_a_handler_fails_on_ends_no_other_link(
+        self,
+    ) -> None:
+        class Failing(Recorder):
+            """Fails on messages about the attempt `odd`."""
+
+            def receive(
+                self, peer: base.Peer, message: messages.AnyMessage
+            ) -> None:
+                if message == messages.Cancel(attempt="odd"):
+                    raise RuntimeError("odd")
+                super().receive(peer, message)
+
+        for is_server_failing in (True, False):
+            with self.subTest(is_server_failing=is_server_failing):
+                client_side, server_side = Failing(), Failing()
+                with zmq.asyncio.Context() as context:
+                    async with anyio.create_task_group() as tasks:
+                        address = await tasks.start(
+                            self.serve, "127.0.0.1:0", server_side, None
+                        )
+                        tasks.start_soon(
+                            functools.partial(
+                                client.connect,
+                                address,
+                                "a",
+                                make_hello("b"),
+                                client_side,
+                                context=context,
+                            )
+                        )
+                        await client_side.wait_for("connects", 1)
+                        await server_side.wait_for("connects", 1)
+                        sides = (client_side, server_side)
+                        sender, receiver = sides[
+                            :: 1 if is_server_failing else -1
+                        ]
+                        sender.peers[0].send(messages.Cancel(attempt="odd"))
+                        if not is_server_failing:
+                            await server_side.wait_for("connects", 2)
+                        sender.peers[-1].send(messages.Cancel(attempt="next"))
+                        await receiver.wait_for("received", 1)
+                        tasks.cancel_scope.cancel()
+
+    async def test_peer_without_a_key_ends_no_other_link(self) -> None:
+        own, other, _ = make_curve()
+        client_side = Recorder()
+        with zmq.asyncio.Context() as context:
+            async with anyio.create_task_group() as tasks:
+                address = await tasks.start(
+                    self.serve, "127.0.0.1:0", Recorder(), own
+                )
+                for name in ("unknown", "a"):
+                    tasks.start_soon(
+                        functools.partial(
+                            client.connect,
+                            address,
+                            name,
+                            make_hello("b"),
+                            client_side,
+                            context=context,
+                            curve=other,
+                        )
+                    )
+                await client_side.wait_for("connects", 1)
+                tasks.cancel_scope.cancel()
+
     async def test_a_client_reconnects_to_a_restarted_server(self) -> None:
         client_side, first, second = Recorder(), Recorder(), Recorder()
         with zmq.asyncio.Context() as context:
