Start failed tasks of entries and agents again

The tasks of an entry that keep the configuration, rates, membership, keys, metrics, exchanges and the link budget, and those of an agent that report, poll and send metrics, run under the same supervisor as those of gateways. The counter `task_failures` counts their failures. An exception in any of them ended the process before.

--- a/eelgrassgate/agent/daemon.py
+++ b/eelgrassgate/agent/daemon.py
@@ -16,6 +16,7 @@
 from eelgrassgate import settings as process_settings
 from eelgrassgate import signal_handling
 from eelgrassgate import signals
+from eelgrassgate import supervision
 from eelgrassgate.agent import execution
 from eelgrassgate.agent import fences
 from eelgrassgate.agent import link_handler
@@ -62,6 +63,9 @@
         self.recorder = recorder.create_recorder(
             "agent", settings.statsd, clock
         )
+        self._supervisor = supervision.create_supervisor(
+            lambda task: self.recorder.count("task_failures")
+        )
         self.scheduler = scheduler.Scheduler(
             queue.Queue(),
             self.window,
@@ -90,10 +94,11 @@
     def start(self) -> None:
         """Start the background tasks of the components."""
         self._tasks.start_soon(self.scheduler.run)
-        self._tasks.start_soon(self._reporter.run)
-        self._tasks.start_soon(self._poller.run)
+        start = functools.partial(self._supervisor.start, self._tasks)
+        start("reports", self._reporter.run)
+        start("endpoint polls", self._poller.run)
         if self._settings.statsd:
-            self._tasks.start_soon(self.recorder.run)
+            start("metrics", self.recorder.run)
 
     def create_report(self) -> messages.LoadReport:
         """Return a report of the current load."""
--- a/eelgrassgate/entry/daemon.py
+++ b/eelgrassgate/entry/daemon.py
@@ -15,6 +15,7 @@
 from eelgrassgate import settings
 from eelgrassgate import signal_handling
 from eelgrassgate import signals
+from eelgrassgate import supervision
 from eelgrassgate.callers import access_control
 from eelgrassgate.callers import app
 from eelgrassgate.callers import base as callers_base
@@ -98,6 +99,9 @@
             item_runner,
             lambda: entry_services.source.fleet.limits,
         )
+        self._supervisor = supervision.create_supervisor(
+            lambda task: entry_services.recorder.count("task_failures")
+        )
         self._is_leaving = False
         self._ended_requests = 0
         self.link_address = ""
@@ -139,8 +143,9 @@
         closing = anyio.Event()
         drained = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            for task in self._services.background_tasks:
-                tasks.start_soon(task)
+            start = functools.partial(self._supervisor.start, tasks)
+            for name, task in self._services.background_tasks_by_name.items():
+                start(name, task)
             self.link_address = await tasks.start(
                 self._mesh.run,
                 self._settings.link_listen,
@@ -149,8 +154,8 @@
             if self._settings.operators_listen is not None:
                 tasks.start_soon(self._serve_operators, closing)
             tasks.start_soon(self.agents.run, self._services.instance_list)
-            tasks.start_soon(self._exchanges.run)
-            tasks.start_soon(self._update_link_budget)
+            start("exchanges", self._exchanges.run)
+            start("link budget", self._update_link_budget)
             tasks.start_soon(self._owner.run)
             tasks.start_soon(self._drain, stop, closing, drained)
             tasks.start_soon(self._end_requests, closing)
--- a/eelgrassgate/entry/services.py
+++ b/eelgrassgate/entry/services.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 import random
 from typing import Any
 from typing import Final
@@ -45,7 +46,8 @@
         store: The platform's key-value store.
         entries_by_name: The listed entries, kept up to date by the mesh.
         listeners: Receive connection events and messages of other entries.
-        background_tasks: Run until cancelled while the entry serves.
+        background_tasks_by_name: Run until cancelled while the entry serves;
+            they can run again after a failure.
         read_config_status: Returns the state that heartbeats carry.
         can_admit: Returns whether this entry may admit requests.
         leave: Gives back this entry's share of the rates at shutdown.
@@ -60,7 +62,7 @@
     store: store_base.Store
     entries_by_name: dict[str, instances_base.Instance]
     listeners: tuple[mesh.Listener, ...] = ()
-    background_tasks: tuple[BackgroundTask, ...] = ()
+    background_tasks_by_name: Mapping[str, BackgroundTask] = {}
     read_config_status: link_base.ReadConfigStatus = (
         server.get_empty_config_status
     )
@@ -117,13 +119,13 @@
         store=store,
         entries_by_name=entries_by_name,
         listeners=(replica, limiter, member),
-        background_tasks=(
-            replica.run,
-            limiter.run,
-            member.run,
-            authenticator.run,
-            recorder.run,
-        ),
+        background_tasks_by_name={
+            "configuration": replica.run,
+            "rates": limiter.run,
+            "membership": member.run,
+            "keys": authenticator.run,
+            "metrics": recorder.run,
+        },
         read_config_status=replica.read_config_status,
         can_admit=member.is_active,
         leave=member.leave,
--- a/eelgrassgate/metrics/names.py
+++ b/eelgrassgate/metrics/names.py
@@ -156,10 +156,19 @@
         "Watches opened at the store.",
     ),
 )
+PROCESS: Final = (
+    Metric(
+        "task_failures",
+        Kind.COUNTER,
+        (),
+        "failures",
+        "Failures of long-lived tasks, each of which was started again.",
+    ),
+)
 
 METRICS_BY_NAME: Final = {
     metric.name: metric
-    for metric in (*TIMERS, *REFUSALS, *ROUTING, *BATCH, *STORE)
+    for metric in (*TIMERS, *REFUSALS, *ROUTING, *BATCH, *STORE, *PROCESS)
 }
 
 
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -10,12 +10,18 @@
 import anyio
 import msgspec
 
+from eelgrassgate import messages
 from eelgrassgate import supervision
+from eelgrassgate.agent import daemon as agent_lib
 from eelgrassgate.batches import daemon
+from eelgrassgate.entry import daemon as entry_lib
 from eelgrassgate.gateway import node as node_lib
+from eelgrassgate.standins import virtual_time
 from eelgrassgate.store import base
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
+from tests import fakes
+from tests import test_agent_work
 from tests import test_batch_daemon
 from tests import test_shutdown
 
@@ -204,6 +210,47 @@
                 tasks.start_soon(run, name, owner, batch)
 
 
+class OwnDaemonsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_entry_survives_the_failure_of_each_task(self) -> None:
+        cases: tuple[tuple[Callable[[entry_lib.Entry], Any], str], ...] = (
+            (lambda entry: entry._exchanges, "run"),
+            (lambda entry: entry, "_update_link_budget"),
+        )
+        for find, method in cases:
+            with self.subTest(method):
+                harness = fakes.Harness()
+                counts = harness.recorder.counts
+                async with anyio.create_task_group() as tasks:
+                    with fail_once(find(harness.entry), method):
+                        await tasks.start(harness.entry.run, harness.stop)
+                        while ("task_failures", "") not in counts:
+                            await anyio.sleep(0.01)
+                    await anyio.sleep(2.0 * supervision.MIN_DELAY_S)
+                    self.assertEqual(counts.count(("task_failures", "")), 1)
+                    tasks.cancel_scope.cancel()
+
+    def test_agent_survives_the_failure_of_each_task(self) -> None:
+        for name in ("_reporter", "_poller"):
+            with self.subTest(name):
+                virtual_time.run(self._check_agent, name)
+
+    async def _check_agent(self, name: str) -> None:
+        original = agent_lib.Agent.start
+
+        def start(agent: agent_lib.Agent) -> None:
+            fail = fail_once(getattr(agent, name), "run")
+            fail.start()
+            original(agent)
+
+        with unittest.mock.patch.object(agent_lib.Agent, "start", start):
+            async with test_agent_work.run_harness() as harness:
+                harness.submit("a")
+                await anyio.sleep(5)
+                self.assertIsInstance(harness.peer.get_final("a"), messages.End)
+                counts = harness.agent.recorder.snapshot().counts
+                self.assertIn("task_failures", [one.name for one in counts])
+
+
 class MirrorTest(unittest.IsolatedAsyncioTestCase):
     async def test_record_that_a_listener_fails_on_holds_up_no_other(
         self,
