Try taken addresses of entries and agents again

The operators' address of an entry is tried for as long as it runs, since no caller depends on it.

Test, before: test_taken_ports_of_the_own_interface_are_awaited fails with `1 != 8` and the traceback of a ZMQError.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -143,7 +143,7 @@
             await anyio.to_thread.run_sync(processes.stop_all)
 
 
-async def wait_until_open(port: int) -> None:
+async def wait_until_open(port: int, host: str = ports.HOST) -> None:
     """Wait until a process accepts connections at `port`.
 
     Raises:
@@ -152,7 +152,7 @@
     deadline = time.monotonic() + READY_TIMEOUT_S
     while time.monotonic() < deadline:
         with contextlib.suppress(OSError):
-            await (await anyio.connect_tcp(ports.HOST, port)).aclose()
+            await (await anyio.connect_tcp(host, port)).aclose()
             return
         await anyio.sleep(POLL_INTERVAL_S)
     raise NotReadyError(f"port {port}")
--- a/eelgrassgate/agent/daemon.py
+++ b/eelgrassgate/agent/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import functools
 import random
+import sys
 from typing import Any
 from typing import Final
 
@@ -10,6 +11,7 @@
 from anyio import abc
 import eliot
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import messages
 from eelgrassgate import outcomes
@@ -30,6 +32,7 @@
 from eelgrassgate.engine import http as engine_http
 from eelgrassgate.link import server
 from eelgrassgate.metrics import recorder
+from eelgrassgate.operators import exit_codes
 from eelgrassgate.service import http as service_http
 
 MAX_INCARNATION: Final = 2**53
@@ -37,6 +40,8 @@
 POLL_INTERVAL_S: Final = 0.02
 COMMIT_TIMEOUT_S: Final = 5.0
 STOP_TIMEOUT_S: Final = 2.0
+# How long a process that just ends may still hold the address.
+PREDECESSOR_GRACE_S: Final = 5.0
 ENGINE: Final = "engine"
 
 _LOG: Final[Any] = eliot.log_message
@@ -210,6 +215,7 @@
         settings.link_listen,
         create_hello(settings),
         handler,
+        binding.compute_give_up_at(PREDECESSOR_GRACE_S),
         curve=settings.curve,
         task_status=task_status,
     )
@@ -218,8 +224,15 @@
 def run(settings: process_settings.Agent) -> int:
     """Run the agent until SIGTERM or SIGINT; return the exit code."""
     options = {"use_uvloop": True}
-    anyio.run(_run_until_signal, settings, backend_options=options)
-    return 0
+    try:
+        anyio.run(_run_until_signal, settings, backend_options=options)
+    except Exception as error:
+        fatal = supervision.find_fatal(error)
+        if fatal is None:
+            raise
+        sys.stderr.write(f"address unavailable: {fatal}\n")
+        return exit_codes.ADDRESS_UNAVAILABLE
+    return exit_codes.OK
 
 
 async def _run_until_signal(settings: process_settings.Agent) -> None:
--- a/eelgrassgate/callers/server.py
+++ b/eelgrassgate/callers/server.py
@@ -10,6 +10,8 @@
 from hypercorn import asyncio as hypercorn_asyncio
 from hypercorn import config as hypercorn_config
 
+from eelgrassgate import binding
+
 BACKLOG: Final = 1024
 MAX_HEADER_BYTES: Final = 65_536
 KEEP_ALIVE_TIMEOUT_S: Final = 75.0
@@ -20,15 +22,28 @@
     listen: str,
     stop: anyio.Event,
     get_drain_s: Callable[[], float],
+    give_up_at: float = 0.0,
     *,
     task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` at `listen` (`host:port`) until `stop`, then drain.
 
-    Requests in flight have `get_drain_s()` seconds to finish. Reports the
-    bound address through `task_status`.
+    Args:
+        app: The ASGI application.
+        listen: The address.
+        stop: Set to end serving.
+        get_drain_s: Returns how long requests in flight may take to finish.
+        give_up_at: Monotonic time until which a taken address is tried again.
+        task_status: Receives the bound address.
+
+    Raises:
+        binding.AddressUnavailableError: The address is taken.
     """
-    bound = _bind(listen)
+
+    async def bind() -> socket.socket:
+        return _bind(listen)
+
+    bound = await binding.open_socket(bind, listen, give_up_at)
     host, port = bound.getsockname()[:2]
     task_status.started(f"{host}:{port}")
     config = _configure(bound)
@@ -56,8 +71,12 @@
     host, _, port = listen.rpartition(":")
     bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((host, int(port)))
-    bound.listen(BACKLOG)
+    try:
+        bound.bind((host, int(port)))
+        bound.listen(BACKLOG)
+    except OSError:
+        bound.close()
+        raise
     bound.setblocking(False)
     return bound
 
--- a/eelgrassgate/entry/daemon.py
+++ b/eelgrassgate/entry/daemon.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import eliot
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import outcomes
 from eelgrassgate import settings
@@ -41,6 +42,8 @@
 # Time before the end of a drain in which final responses are written.
 RESPONSE_MARGIN_S: Final = 0.25
 LINK_BUDGET_INTERVAL_S: Final = 1.0
+# How long a process that just ends may still hold the addresses.
+PREDECESSOR_GRACE_S: Final = 5.0
 
 _LOG: Final[Any] = eliot.log_message
 
@@ -142,6 +145,7 @@
         )
         closing = anyio.Event()
         drained = anyio.Event()
+        give_up_at = binding.compute_give_up_at(PREDECESSOR_GRACE_S)
         async with anyio.create_task_group() as tasks:
             start = functools.partial(self._supervisor.start, tasks)
             for name, task in self._services.background_tasks_by_name.items():
@@ -150,9 +154,10 @@
                 self._mesh.run,
                 self._settings.link_listen,
                 self._services.instance_list,
+                give_up_at,
             )
             if self._settings.operators_listen is not None:
-                tasks.start_soon(self._serve_operators, closing)
+                start("operators", self._serve_operators, closing)
             tasks.start_soon(self.agents.run, self._services.instance_list)
             start("exchanges", self._exchanges.run)
             start("link budget", self._update_link_budget)
@@ -164,6 +169,7 @@
                 self._settings.listen,
                 closing,
                 self._get_drain_timeout_s,
+                give_up_at,
                 task_status=task_status,
             )
             aborted = self.count_in_flight() + self._ended_requests
@@ -214,6 +220,7 @@
             self._settings.operators_listen or "",
             closing,
             lambda: OPERATORS_DRAIN_S,
+            deadlines.NEVER,
         )
 
     def _get_drain_timeout_s(self) -> float:
@@ -249,9 +256,18 @@
         aborted.
     """
     eliot.to_file(sys.stderr)  # type: ignore[no-untyped-call]
-    aborted = anyio.run(
-        _run_until_signal, entry_settings, backend_options={"use_uvloop": True}
-    )
+    try:
+        aborted = anyio.run(
+            _run_until_signal,
+            entry_settings,
+            backend_options={"use_uvloop": True},
+        )
+    except Exception as error:
+        fatal = supervision.find_fatal(error)
+        if fatal is None:
+            raise
+        _LOG("ended", reason=f"address unavailable: {fatal}")
+        return exit_codes.ADDRESS_UNAVAILABLE
     return exit_codes.NOT_DRAINED if aborted else exit_codes.OK
 
 
--- a/eelgrassgate/entry/mesh.py
+++ b/eelgrassgate/entry/mesh.py
@@ -62,12 +62,13 @@
         self,
         listen: str,
         instance_list: instances_base.InstanceList,
+        give_up_at: float = 0.0,
         *,
         task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Maintain connections until cancelled; report the bound address."""
         async with anyio.create_task_group() as tasks:
-            address = await tasks.start(self._serve, listen)
+            address = await tasks.start(self._serve, listen, give_up_at)
             task_status.started(address)
             with zmq.asyncio.Context() as context:
                 async for instances in reflector.watch_forever(
@@ -78,6 +79,7 @@
     async def _serve(
         self,
         listen: str,
+        give_up_at: float,
         *,
         task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -85,6 +87,7 @@
             listen,
             self._hello,
             self._fan_out,
+            give_up_at,
             curve=self._curve,
             read_config_status=self._read_config_status,
             task_status=task_status,
--- a/eelgrassgate/link/server.py
+++ b/eelgrassgate/link/server.py
@@ -7,6 +7,7 @@
 import zmq
 import zmq.asyncio
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import logs
 from eelgrassgate import messages
@@ -154,6 +155,7 @@
     listen: str,
     hello: messages.Hello,
     handler: base.Handler,
+    give_up_at: float = 0.0,
     *,
     curve: settings.Curve | None = None,
     read_config_status: base.ReadConfigStatus = get_empty_config_status,
@@ -161,9 +163,17 @@
 ) -> None:
     """Serve links at `listen` (`host:port`) until cancelled.
 
-    Reports the bound address through `task_status`.
+    Args:
+        listen: The address.
+        hello: What to send on each new link.
+        handler: Handles the events of links.
+        give_up_at: Monotonic time until which a taken address is tried again.
+        curve: Keys of the link.
+        read_config_status: Returns the state that heartbeats carry.
+        task_status: Receives the bound address.
 
     Raises:
+        binding.AddressUnavailableError: The address is taken.
         sockets.InsecureLinkError: The address is not loopback and there are
             no keys.
     """
@@ -171,12 +181,20 @@
     authenticator = None
     if curve:
         authenticator = sockets.start_authenticator(context, curve)
-    socket, address = sockets.open_server(context, listen, curve)
+
+    async def open_server() -> tuple[zmq.asyncio.Socket, str]:
+        return sockets.open_server(context, listen, curve)
+
     try:
-        task_status.started(address)
-        await Server(socket, hello, handler, read_config_status).run()
+        socket, address = await binding.open_socket(
+            open_server, listen, give_up_at
+        )
+        try:
+            task_status.started(address)
+            await Server(socket, hello, handler, read_config_status).run()
+        finally:
+            socket.close()
     finally:
         if authenticator:
             authenticator.stop()
-        socket.close()
         context.term()
--- a/eelgrassgate/link/sockets.py
+++ b/eelgrassgate/link/sockets.py
@@ -37,7 +37,11 @@
         socket.curve_server = True
         socket.curve_secretkey = curve.secret.encode()
         socket.curve_publickey = curve.public.encode()
-    socket.bind(f"tcp://{address}")
+    try:
+        socket.bind(f"tcp://{address}")
+    except zmq.ZMQError as error:
+        socket.close()
+        raise OSError(error.errno, error.strerror) from error
     endpoint = socket.getsockopt_string(zmq.LAST_ENDPOINT)
     return socket, endpoint.removeprefix("tcp://")
 
--- a/eelgrassgate/operators/exit_codes.py
+++ b/eelgrassgate/operators/exit_codes.py
@@ -10,6 +10,7 @@
 UNKNOWN: Final = 5
 PENDING: Final = 6
 NOT_DRAINED: Final = 7
+ADDRESS_UNAVAILABLE: Final = 8
 
 MEANINGS: Final = {
     OK: "done; for a daemon, a graceful shutdown",
@@ -20,4 +21,5 @@
     UNKNOWN: "no reply arrived: the change may have been made; check the state",
     PENDING: "changed in the store, but not yet in force everywhere",
     NOT_DRAINED: "a daemon's shutdown ended with requests still in flight",
+    ADDRESS_UNAVAILABLE: "an address that a daemon needs stayed taken",
 }
--- a/eelgrassgate/platform/process.py
+++ b/eelgrassgate/platform/process.py
@@ -10,12 +10,12 @@
 import anyio
 from returns import result
 
-from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import findings as findings_lib
 from eelgrassgate import logs
 from eelgrassgate import signal_handling
 from eelgrassgate import signals
+from eelgrassgate import supervision
 from eelgrassgate.gateway import node
 from eelgrassgate.gateway import settings
 from eelgrassgate.platform import batch_calls
@@ -140,13 +140,9 @@
 
 def _report_end(error: Exception) -> int:
     """Log why the process ends by itself; return its exit code."""
-    group = ExceptionGroup("", [error])
-    unavailable = group.subgroup(binding.AddressUnavailableError)
-    if unavailable is None:
+    fatal = supervision.find_fatal(error)
+    if fatal is None:
         logs.log_exception("ended")
         return FAILED_EXIT_CODE
-    leaf: BaseException = unavailable
-    while isinstance(leaf, BaseExceptionGroup):
-        leaf = leaf.exceptions[0]
-    logs.log_message("ended", reason=f"address unavailable: {leaf}")
+    logs.log_message("ended", reason=f"address unavailable: {fatal}")
     return ADDRESS_UNAVAILABLE_EXIT_CODE
--- a/eelgrassgate/supervision.py
+++ b/eelgrassgate/supervision.py
@@ -96,7 +96,7 @@
                 await call(*arguments)
                 return
             except Exception as error:
-                if _is_fatal(error):
+                if find_fatal(error) is not None:
                     raise
                 delay_s = restarts.record_failure(deadlines.now() - started_at)
                 self._count_failure(task)
@@ -111,10 +111,14 @@
             logs.log_message("task:restarted", task=task)
 
 
-def _is_fatal(error: Exception) -> bool:
-    if isinstance(error, ExceptionGroup):
-        return error.subgroup(FatalError) is not None
-    return isinstance(error, FatalError)
+def find_fatal(error: Exception) -> FatalError | None:
+    """Return the fatal error that an exception is or contains, if any."""
+    if isinstance(error, FatalError):
+        return error
+    if not isinstance(error, ExceptionGroup):
+        return None
+    found = map(find_fatal, error.exceptions)
+    return next((one for one in found if one is not None), None)
 
 
 def create_supervisor(count_failure: Callable[[str], None]) -> Supervisor:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -33,6 +33,7 @@
 INVALID_SETTINGS_EXIT_CODE: Final = 2
 SETTINGS_DELAY_S: Final = 0.2
 ADDRESS_UNAVAILABLE_EXIT_CODE: Final = 69
+OWN_ADDRESS_EXIT_CODE: Final = 8
 # Ports that a process needs: for callers, readiness probes, reports and relays.
 NEEDED_PORTS: Final = (
     ("gateway", socket.SOCK_STREAM, 7801),
@@ -209,6 +210,49 @@
             for number, name in enumerate(("entry", "agent", "local")):
                 tasks.start_soon(run, name, SEED + number)
 
+    async def test_taken_ports_of_the_own_interface_are_awaited(self) -> None:
+        async def run(name: str, port: str, is_freed: bool) -> None:
+            own = {**OWN_SETTINGS[name]}
+            key = f"{name}-{port}-{is_freed}"
+            ip = f"127.91.2.{10 + len(started.by_name)}"
+            for listen, number in (("listen", 7801), ("link_listen", 7802)):
+                if listen in own:
+                    own[listen] = f"{ip}:{number}"
+            path = started.write_settings(key, own)
+            host, _, number = own[port].rpartition(":")
+            with take(socket.SOCK_STREAM, host, int(number)):
+                one = started.start(
+                    key, "eelgrassgate.main", [name, "--settings", path]
+                )
+                if is_freed:
+                    await self.wait(lambda: daemons.handles_signals(one.pid))
+                    await anyio.sleep(MAX_DELAY_S)
+                    self.assertTrue(one.is_running(), started.read_log(key))
+                else:
+                    await self.wait(lambda: not one.is_running())
+            if is_freed:
+                await processes.wait_until_open(int(number), host)
+                one.send(signal.SIGTERM)
+                await self.wait(lambda: not one.is_running())
+                self.assertEqual(one.wait(), 0, started.read_log(key))
+            else:
+                log = started.read_log(key)
+                self.assertEqual(one.wait(), OWN_ADDRESS_EXIT_CODE, log)
+                self.assertIn(f"address unavailable: {own[port]}", log)
+                self.assertNotIn("Traceback", log)
+
+        async with (
+            processes.run_processes(self.folder) as started,
+            anyio.create_task_group() as tasks,
+        ):
+            for name, port in (
+                ("entry", "listen"),
+                ("entry", "link_listen"),
+                ("agent", "link_listen"),
+            ):
+                for is_freed in (True, False):
+                    tasks.start_soon(run, name, port, is_freed)
+
     async def test_taken_metrics_port_is_used_once_it_is_free(self) -> None:
         async def run(role: str) -> None:
             daemon = self.create_daemon(role)
