--- a/eelgrassgate/agent/daemon.py
+++ b/eelgrassgate/agent/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import functools
 import random
+import sys
 from typing import Any
 from typing import Final
 
@@ -10,12 +11,14 @@
 from anyio import abc
 import eliot
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import messages
 from eelgrassgate import outcomes
 from eelgrassgate import settings as process_settings
 from eelgrassgate import signal_handling
 from eelgrassgate import signals
+from eelgrassgate import supervision
 from eelgrassgate.agent import execution
 from eelgrassgate.agent import fences
 from eelgrassgate.agent import link_handler
@@ -29,6 +32,7 @@
 from eelgrassgate.engine import http as engine_http
 from eelgrassgate.link import server
 from eelgrassgate.metrics import recorder
+from eelgrassgate.operators import exit_codes
 from eelgrassgate.service import http as service_http
 
 MAX_INCARNATION: Final = 2**53
@@ -36,6 +40,8 @@
 POLL_INTERVAL_S: Final = 0.02
 COMMIT_TIMEOUT_S: Final = 5.0
 STOP_TIMEOUT_S: Final = 2.0
+# How long a process that just ends may still hold the address.
+PREDECESSOR_GRACE_S: Final = 5.0
 ENGINE: Final = "engine"
 
 _LOG: Final[Any] = eliot.log_message
@@ -62,6 +68,9 @@
         self.recorder = recorder.create_recorder(
             "agent", settings.statsd, clock
         )
+        self._supervisor = supervision.create_supervisor(
+            lambda task: self.recorder.count("task_failures")
+        )
         self.scheduler = scheduler.Scheduler(
             queue.Queue(),
             self.window,
@@ -90,10 +99,11 @@
     def start(self) -> None:
         """Start the background tasks of the components."""
         self._tasks.start_soon(self.scheduler.run)
-        self._tasks.start_soon(self._reporter.run)
-        self._tasks.start_soon(self._poller.run)
+        start = functools.partial(self._supervisor.start, self._tasks)
+        start("reports", self._reporter.run)
+        start("endpoint polls", self._poller.run)
         if self._settings.statsd:
-            self._tasks.start_soon(self.recorder.run)
+            start("metrics", self.recorder.run)
 
     def create_report(self) -> messages.LoadReport:
         """Return a report of the current load."""
@@ -205,6 +215,7 @@
         settings.link_listen,
         create_hello(settings),
         handler,
+        binding.compute_give_up_at(PREDECESSOR_GRACE_S),
         curve=settings.curve,
         task_status=task_status,
     )
@@ -213,8 +224,15 @@
 def run(settings: process_settings.Agent) -> int:
     """Run the agent until SIGTERM or SIGINT; return the exit code."""
     options = {"use_uvloop": True}
-    anyio.run(_run_until_signal, settings, backend_options=options)
-    return 0
+    try:
+        anyio.run(_run_until_signal, settings, backend_options=options)
+    except Exception as error:
+        fatal = supervision.find_fatal(error)
+        if fatal is None:
+            raise
+        sys.stderr.write(f"address unavailable: {fatal}\n")
+        return exit_codes.ADDRESS_UNAVAILABLE
+    return exit_codes.OK
 
 
 async def _run_until_signal(settings: process_settings.Agent) -> None:
--- a/eelgrassgate/entry/daemon.py
+++ b/eelgrassgate/entry/daemon.py
@@ -10,11 +10,13 @@
 import anyio.abc
 import eliot
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
 from eelgrassgate import outcomes
 from eelgrassgate import settings
 from eelgrassgate import signal_handling
 from eelgrassgate import signals
+from eelgrassgate import supervision
 from eelgrassgate.callers import access_control
 from eelgrassgate.callers import app
 from eelgrassgate.callers import base as callers_base
@@ -40,6 +42,8 @@
 # Time before the end of a drain in which final responses are written.
 RESPONSE_MARGIN_S: Final = 0.25
 LINK_BUDGET_INTERVAL_S: Final = 1.0
+# How long a process that just ends may still hold the addresses.
+PREDECESSOR_GRACE_S: Final = 5.0
 
 _LOG: Final[Any] = eliot.log_message
 
@@ -98,6 +102,9 @@
             item_runner,
             lambda: entry_services.source.fleet.limits,
         )
+        self._supervisor = supervision.create_supervisor(
+            lambda task: entry_services.recorder.count("task_failures")
+        )
         self._is_leaving = False
         self._ended_requests = 0
         self.link_address = ""
@@ -138,19 +145,22 @@
         )
         closing = anyio.Event()
         drained = anyio.Event()
+        give_up_at = binding.compute_give_up_at(PREDECESSOR_GRACE_S)
         async with anyio.create_task_group() as tasks:
-            for task in self._services.background_tasks:
-                tasks.start_soon(task)
+            start = functools.partial(self._supervisor.start, tasks)
+            for name, task in self._services.background_tasks_by_name.items():
+                start(name, task)
             self.link_address = await tasks.start(
                 self._mesh.run,
                 self._settings.link_listen,
                 self._services.instance_list,
+                give_up_at,
             )
             if self._settings.operators_listen is not None:
-                tasks.start_soon(self._serve_operators, closing)
+                start("operators", self._serve_operators, closing)
             tasks.start_soon(self.agents.run, self._services.instance_list)
-            tasks.start_soon(self._exchanges.run)
-            tasks.start_soon(self._update_link_budget)
+            start("exchanges", self._exchanges.run)
+            start("link budget", self._update_link_budget)
             tasks.start_soon(self._owner.run)
             tasks.start_soon(self._drain, stop, closing, drained)
             tasks.start_soon(self._end_requests, closing)
@@ -159,6 +169,7 @@
                 self._settings.listen,
                 closing,
                 self._get_drain_timeout_s,
+                give_up_at,
                 task_status=task_status,
             )
             aborted = self.count_in_flight() + self._ended_requests
@@ -209,6 +220,7 @@
             self._settings.operators_listen or "",
             closing,
             lambda: OPERATORS_DRAIN_S,
+            deadlines.NEVER,
         )
 
     def _get_drain_timeout_s(self) -> float:
@@ -244,9 +256,18 @@
         aborted.
     """
     eliot.to_file(sys.stderr)  # type: ignore[no-untyped-call]
-    aborted = anyio.run(
-        _run_until_signal, entry_settings, backend_options={"use_uvloop": True}
-    )
+    try:
+        aborted = anyio.run(
+            _run_until_signal,
+            entry_settings,
+            backend_options={"use_uvloop": True},
+        )
+    except Exception as error:
+        fatal = supervision.find_fatal(error)
+        if fatal is None:
+            raise
+        _LOG("ended", reason=f"address unavailable: {fatal}")
+        return exit_codes.ADDRESS_UNAVAILABLE
     return exit_codes.NOT_DRAINED if aborted else exit_codes.OK
 
 
--- a/eelgrassgate/link/server.py
+++ b/eelgrassgate/link/server.py
@@ -7,7 +7,9 @@
 import zmq
 import zmq.asyncio
 
+from eelgrassgate import binding
 from eelgrassgate import deadlines
+from eelgrassgate import logs
 from eelgrassgate import messages
 from eelgrassgate import settings
 from eelgrassgate.link import base
@@ -84,7 +86,11 @@
                     message = messages.decode(data)
                 except messages.BadMessageError:
                     continue
-                self._handle(identity, message, tasks)
+                try:
+                    self._handle(identity, message, tasks)
+                except Exception:
+                    # One message must not end the links to all peers.
+                    logs.log_exception("link:message_failed")
 
     def _handle(
         self,
@@ -125,7 +131,10 @@
             await anyio.sleep(deadlines.compute_remaining(peer.times_out_at))
         del self._peers_by_identity[identity]
         peer.is_open = False
-        self._handler.disconnect(peer)
+        try:
+            self._handler.disconnect(peer)
+        except Exception:
+            logs.log_exception("link:failed", peer=peer.hello.instance)
 
     def _create_ack(
         self, heartbeat: messages.Heartbeat
@@ -146,6 +155,7 @@
     listen: str,
     hello: messages.Hello,
     handler: base.Handler,
+    give_up_at: float = 0.0,
     *,
     curve: settings.Curve | None = None,
     read_config_status: base.ReadConfigStatus = get_empty_config_status,
@@ -153,9 +163,17 @@
 ) -> None:
     """Serve links at `listen` (`host:port`) until cancelled.
 
-    Reports the bound address through `task_status`.
+    Args:
+        listen: The address.
+        hello: What to send on each new link.
+        handler: Handles the events of links.
+        give_up_at: Monotonic time until which a taken address is tried again.
+        curve: Keys of the link.
+        read_config_status: Returns the state that heartbeats carry.
+        task_status: Receives the bound address.
 
     Raises:
+        binding.AddressUnavailableError: The address is taken.
         sockets.InsecureLinkError: The address is not loopback and there are
             no keys.
     """
@@ -163,12 +181,20 @@
     authenticator = None
     if curve:
         authenticator = sockets.start_authenticator(context, curve)
-    socket, address = sockets.open_server(context, listen, curve)
+
+    async def open_server() -> tuple[zmq.asyncio.Socket, str]:
+        return sockets.open_server(context, listen, curve)
+
     try:
-        task_status.started(address)
-        await Server(socket, hello, handler, read_config_status).run()
+        socket, address = await binding.open_socket(
+            open_server, listen, give_up_at
+        )
+        try:
+            task_status.started(address)
+            await Server(socket, hello, handler, read_config_status).run()
+        finally:
+            socket.close()
     finally:
         if authenticator:
             authenticator.stop()
-        socket.close()
         context.term()
