Decide in one place which headers of a caller go on

What callers saw: headers of a batch item reached its endpoint as the client wrote them: the caller's key, a second Tenant, Request-Id, Expect-Instance or Time-Remaining before the system's, Transfer-Encoding beside Content-Length, and Last-Event-Id, with which a first run starts in the middle; with Host or Content-Length the item was never done. A request with 'Connection: host' was answered by 503, and one with 'Connection: request-id' by 504; both counted as faults of the endpoints.

Cause: items had no filter. That of requests dropped whatever Connection names, also what a request needs to be sent and its response to be recognized.

Connection can't name Host or Request-Id.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -178,7 +178,7 @@
     headers = (
         (b"host", _encode(host)),
         (b"request-id", _encode(item.id)),
-        *_encode_headers(item),
+        *dialect.filter_item_headers(_encode_headers(item)),
     )
     return calls.Call(
         item.id,
--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -115,6 +115,12 @@
         """Parse a request."""
         ...
 
+    def filter_item_headers(
+        self, headers: upstream.Headers
+    ) -> upstream.Headers:
+        """Return the headers of a batch item that are forwarded."""
+        ...
+
     def read_prompt_parts(self, headers: upstream.Headers) -> tuple[str, ...]:
         """Parse `Call.prompt_parts` from a request's headers."""
         ...
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -11,6 +11,7 @@
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
 
+HOST: Final = b"host"
 REQUEST_ID: Final = b"request-id"
 # Milliseconds that the caller still waits, or that the endpoint may still run.
 TIME_REMAINING: Final = b"time-remaining"
@@ -68,6 +69,10 @@
         b"content-length",
     }
 )
+# An item is a request of the system, which also resumes its output.
+_SET_FOR_ITEMS: Final = _SET_BY_GATEWAY | {HOST, REQUEST_ID, LAST_EVENT_ID}
+# Without these, a request can't be sent, or its response not be told apart.
+_KEPT: Final = frozenset({HOST, REQUEST_ID})
 
 
 class PlatformDialect:
@@ -76,7 +81,7 @@
     def read_call(self, incoming: downstream.IncomingRequest) -> calls.Call:
         """Parse a request."""
         target = incoming.target.decode("latin-1")
-        host = (incoming.get(b"host") or b"").decode("latin-1")
+        host = (incoming.get(HOST) or b"").decode("latin-1")
         remaining = parse_number(
             incoming.get(TIME_REMAINING), DEFAULT_REMAINING_MS
         )
@@ -93,6 +98,12 @@
             self.read_prompt_parts(incoming.headers),
         )
 
+    def filter_item_headers(
+        self, headers: upstream.Headers
+    ) -> upstream.Headers:
+        """Return the headers of a batch item that are forwarded."""
+        return _filter_headers(headers, _SET_FOR_ITEMS)
+
     def read_prompt_parts(self, headers: upstream.Headers) -> tuple[str, ...]:
         """Parse the ids of the shared parts: all but the last."""
         for name, value in headers:
@@ -159,12 +170,18 @@
 def _filter_headers(
     headers: upstream.Headers, dropped: frozenset[bytes]
 ) -> upstream.Headers:
+    """Return the headers of a message that are not those of its connection.
+
+    Args:
+        headers: Headers with names in lower case.
+        dropped: Names of others that don't go on.
+    """
     connection_headers = {
         token.strip().lower()
         for name, value in headers
         if name == b"connection"
         for token in value.split(b",")
-    }
+    } - _KEPT
     return tuple(
         (name, value)
         for name, value in headers
