Take an event id that no head can hold for broken output

What callers could see: after an event with an id of more than 8,192 bytes, a stream or an item could not go on at another endpoint, since the request that resumes has the id in its head, and receivers refuse heads of more than some 16,384 bytes.

Cause: only the event was bounded, by 65,536 bytes.

Such an event now counts as none that could be read, and isn't passed on. The test failed before: the event with the id of 8,193 bytes was the answer instead of the other endpoint's.

--- a/eelgrassgate/http1/events.py
+++ b/eelgrassgate/http1/events.py
@@ -10,12 +10,15 @@
 _TERMINATOR: Final = b"\n\n"
 # Bound on one event, which holds a few tokens.
 MAX_EVENT_BYTES: Final = 65_536
+# Bound on an event id, which is sent in the head of a request that resumes.
+# Receivers commonly accept heads of 16,384 bytes.
+MAX_ID_BYTES: Final = 8_192
 # Bound on what is split at once; it may be thousands of events.
 MAX_PART_BYTES: Final = 4_096
 
 
 class EventTooLargeError(Exception):
-    """An event exceeds `MAX_EVENT_BYTES`, or the bytes are no events."""
+    """An event or its id exceeds its bound, or the bytes are no events."""
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -43,7 +46,7 @@
         """Return the events that `data` completes.
 
         Raises:
-            EventTooLargeError: An incomplete event exceeds its bound.
+            EventTooLargeError: An incomplete event or an id exceeds its bound.
         """
         # What was buffered holds no terminator, but may end with its start.
         start = max(0, len(self._buffer) - len(_TERMINATOR) + 1)
@@ -64,12 +67,19 @@
 
 
 def _parse_event(raw: bytes) -> Event:
+    """Parse one event.
+
+    Raises:
+        EventTooLargeError: Its id exceeds `MAX_ID_BYTES`.
+    """
     event_id = ""
     lines: list[str] = []
     for line in raw.decode("utf-8", "surrogateescape").split("\n"):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
+            if len(value) > MAX_ID_BYTES:
+                raise EventTooLargeError(f"id exceeds {MAX_ID_BYTES} bytes")
             event_id = value
         elif name == "data":
             lines.append(value)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -287,6 +287,7 @@
         for name, event_id in (
             ("many digits", b"1" * 5_000),
             ("digits of another script", "\u00b2".encode()),
+            ("no head could hold it", b"a" * (events.MAX_ID_BYTES + 1)),
         ):
             with self.subTest(name):
                 events_sent = b"id: %b\ndata: a\n\n" % event_id * 2
@@ -295,6 +296,20 @@
                 )
                 self.assertEqual(found, items.Outcome.BROKEN)
 
+    async def test_an_event_id_is_too_large_to_resume_after(self) -> None:
+        event_id = b"a" * (events.MAX_ID_BYTES + 1)
+        async with site_lib.open_site() as site:
+            first, second = site.endpoints
+            site.loads.set_peer_counts("other", {second.name: 4}, {})
+            first.behavior = endpoint.Behavior(
+                endless=(SIGNED_HEAD + b"id: %b\ndata: a\n\n" % event_id, b""),
+                endless_delay_s=0.01,
+            )
+            response = site_lib.Response()
+            with anyio.move_on_after(MAX_ANSWER_S):
+                response = await site_lib.call(site.address, "/resumable/a")
+            self.assertEqual(response.body, endpoint.write_stream(4))
+
     async def run_item(
         self, start: bytes, repeated: bytes, delay_s: float
     ) -> items.Outcome | None:
