--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -43,6 +43,10 @@
 SIGNED_HEAD: Final = (
     b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: 1\r\n\r\n"
 )
+# A whole chunk of an answer that isn't over.
+CHUNK: Final = SIGNED_HEAD.replace(
+    b"\r\n\r\n", b"\r\ntransfer-encoding: chunked\r\n\r\n1\r\n:\r\n"
+)
 
 
 class Case(msgspec.Struct, frozen=True):
@@ -65,6 +69,26 @@
     Case("a head without end", "/plain/a", b"HTTP/1.1 200 OK\r\nx: ", PADDING),
     Case("many headers", "/plain/a", b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 500),
     Case("no HTTP", "/plain/a", b"", PADDING),
+    Case(
+        "late responses",
+        "/plain/a",
+        b"",
+        b"HTTP/1.1 200 OK\r\nrequest-id: another\r\ncontent-length: 0\r\n\r\n"
+        * 50,
+    ),
+    Case("a trailer without end", "/plain/a", CHUNK + b"0\r\nx: ", PADDING),
+    Case("many trailers", "/plain/a", CHUNK + b"0\r\n", b"x: y\r\n" * 500),
+    Case("a chunk extension without end", "/plain/a", CHUNK + b"1;", PADDING),
+    Case("a chunk size without end", "/plain/a", CHUNK, b"0" * 4096),
+    Case(
+        "a chunk without end", "/resumable/a", CHUNK + b"ffffffff\r\n", PADDING
+    ),
+    Case(
+        "events without a blank line",
+        "/resumable/a",
+        CHUNK,
+        b"1000\r\n" + b"data: x\n" * 512 + b"\r\n",
+    ),
     Case(
         "a late response without end",
         "/plain/a",
@@ -263,6 +287,7 @@
         for name, event_id in (
             ("many digits", b"1" * 5_000),
             ("digits of another script", "\u00b2".encode()),
+            ("no head could hold it", b"a" * (events.MAX_ID_BYTES + 1)),
         ):
             with self.subTest(name):
                 events_sent = b"id: %b\ndata: a\n\n" % event_id * 2
@@ -271,6 +296,20 @@
                 )
                 self.assertEqual(found, items.Outcome.BROKEN)
 
+    async def test_an_event_id_is_too_large_to_resume_after(self) -> None:
+        event_id = b"a" * (events.MAX_ID_BYTES + 1)
+        async with site_lib.open_site() as site:
+            first, second = site.endpoints
+            site.loads.set_peer_counts("other", {second.name: 4}, {})
+            first.behavior = endpoint.Behavior(
+                endless=(SIGNED_HEAD + b"id: %b\ndata: a\n\n" % event_id, b""),
+                endless_delay_s=0.01,
+            )
+            response = site_lib.Response()
+            with anyio.move_on_after(MAX_ANSWER_S):
+                response = await site_lib.call(site.address, "/resumable/a")
+            self.assertEqual(response.body, endpoint.write_stream(4))
+
     async def run_item(
         self, start: bytes, repeated: bytes, delay_s: float
     ) -> items.Outcome | None:
