Charge pages of results and stored items to the memory of their call

Callers saw: many readers of large results, or of items, at once make a gateway hold a page or a value of up to 1 MB for each, several times over, until it runs out of memory and ends (FAULT).

Cause: something that others choose grows in a process without a bound of that process: pages are received, joined, decoded and encoded as JSON, and values of a job's items are read for each call.

Now a call is charged for a page once its owner states the length, or before it reads values of the store, until it is answered. It waits while memory is short, and is answered 503 if there is none in time.

--- a/eelgrassgate/batches/admission.py
+++ b/eelgrassgate/batches/admission.py
@@ -49,6 +49,9 @@
     Large work is admitted in order of arrival. A part of the budget is set
     aside for one piece of it, as what others hold that wait may take all the
     rest. Small work doesn't wait for large work.
+
+    Attributes:
+        budget: The memory budget of the process.
     """
 
     def __init__(
@@ -60,7 +63,7 @@
     ) -> None:
         """Set the reserve aside; see `create_admission`."""
         self._caches_give_way = caches_give_way
-        self._budget = budget
+        self.budget = budget
         reserve = budget.open(memory_budget.Kind.JOB)
         reserve.try_grow(
             min(reserve_bytes, int(budget.limit_bytes * MAX_RESERVE_SHARE))
@@ -82,7 +85,7 @@
             deadline: Monotonic time by which it has to be done.
         """
         wait_s = deadlines.compute_remaining(deadline) * MAX_WAIT_SHARE
-        with self._budget.open(memory_budget.Kind.JOB, workspace) as account:
+        with self.budget.open(memory_budget.Kind.JOB, workspace) as account:
             if not is_large(size):
                 yield await account.grow(size, deadlines.after(wait_s))
                 return
--- a/eelgrassgate/batches/job_memory.py
+++ b/eelgrassgate/batches/job_memory.py
@@ -52,8 +52,7 @@
         Raises:
             MemoryShortError: There is none now.
         """
-        pieces = READ_FACTOR + min(job.parts - 1, MAX_PIECES)
-        size = pieces * records.MAX_PART_BYTES
+        size = measure_read(job)
         until = deadlines.after(READ_WAIT_S / admission.MAX_WAIT_SHARE)
         async with self._reads.admit(job.id, size, until) as is_admitted:
             if not is_admitted:
@@ -61,6 +60,12 @@
             yield
 
 
+def measure_read(job: records.Job) -> int:
+    """Return the memory for reading one value of a job, or one large item."""
+    values = READ_FACTOR + min(job.parts - 1, MAX_PIECES)
+    return values * records.MAX_PART_BYTES
+
+
 def measure_item(item: calls.BatchItem) -> int:
     """Return how many bytes of memory an item takes."""
     return (
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -14,6 +14,7 @@
 from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
+from eelgrassgate.batches import job_memory
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import stored_items
@@ -27,6 +28,9 @@
 MAX_CACHE_BYTES: Final = 24_000_000
 # Holder of the caches in the memory budget.
 CACHES: Final = "caches"
+# Bytes held for each byte of a page of results, from its reception until the
+# caller has it: received, joined, decoded and encoded as JSON.
+PAGE_FACTOR: Final = 4
 # Cached job records take a few hundred bytes each.
 MAX_CACHED_JOBS: Final = 4_000
 # After this time without a response from an owner the store is read instead.
@@ -71,6 +75,34 @@
         raise UnavailableError(f"invalid value: {error}") from error
 
 
+class CallMemory:
+    """The memory of one call, from its first read until it is answered."""
+
+    def __init__(
+        self, account: memory_budget.Account, wait_until: float
+    ) -> None:
+        """Initialize.
+
+        Args:
+            account: The call's account.
+            wait_until: Monotonic time until which the call may wait.
+        """
+        self._account = account
+        self._wait_until = wait_until
+
+    async def hold(self, size: int) -> None:
+        """Charge what a read takes, if the call holds less.
+
+        Raises:
+            UnavailableError: There was no memory in time.
+        """
+        missing = size - self._account.held_bytes
+        if missing > 0 and not await self._account.grow(
+            missing, self._wait_until
+        ):
+            raise UnavailableError("memory is short")
+
+
 class Reader:
     """Reads from job owners and falls back to the store."""
 
@@ -166,8 +198,13 @@
         target: str,
         body: bytes = b"",
         wait_s: float = 0.0,
+        memory: CallMemory | None = None,
     ) -> bytes | None:
-        """Send a request to another process; None unless it returns 200."""
+        """Send a request to another process; None unless it returns 200.
+
+        Raises:
+            UnavailableError: There was no memory for the response in time.
+        """
         headers = (
             (b"host", member.relay_address.encode()),
             (b"content-length", b"%d" % len(body)),
@@ -177,6 +214,9 @@
             with anyio.fail_after(wait_s + OWNER_TIMEOUT_S):
                 async with self._pool.use(member.relay_address) as connection:
                     await connection.start(request, lambda head: True)
+                    if memory is not None:
+                        size = _read_length(connection.head)
+                        await memory.hold(size * PAGE_FACTOR)
                     answer = await connection.read_body()
                     status = connection.head.status
         except (upstream.ExchangeError, TimeoutError) as error:
@@ -187,20 +227,25 @@
         return answer if status == OK else None
 
     async def read_results(
-        self, job: records.Job, after: int, wait_until: float
+        self,
+        job: records.Job,
+        after: int,
+        wait_until: float,
+        memory: CallMemory | None = None,
     ) -> owner_api.Listing:
         """Return results from position `after` on.
 
         Waits until `wait_until` if there are none yet.
 
         Raises:
-            UnavailableError: Neither an owner nor the store responded.
+            UnavailableError: Neither an owner nor the store responded, or
+                there was no memory for the results.
         """
         known = self._results_by_job.get(job.id, [])
         if after < len(known):
             found = owner_api.select_page(known, after)
             return owner_api.Listing(job.total, after + len(found), found)
-        fetched = await self._fetch_results(job, after, wait_until)
+        fetched = await self._fetch_results(job, after, wait_until, memory)
         if after == len(known):
             # Positions of results never change, so they can be cached.
             self._cache_results(job.id, known, fetched)
@@ -225,7 +270,11 @@
             self._evict_results()
 
     async def _fetch_results(
-        self, job: records.Job, after: int, wait_until: float
+        self,
+        job: records.Job,
+        after: int,
+        wait_until: float,
+        memory: CallMemory | None,
     ) -> owner_api.Listing:
         """Fetch results from the owners, then from the store.
 
@@ -242,16 +291,20 @@
             )
             target = f"{owner_api.PATH}{records.quote(job.id)}?{query}"
             body = await self._query_owner(
-                member, b"GET", target, wait_s=wait_s
+                member, b"GET", target, wait_s=wait_s, memory=memory
             )
             if body is not None:
                 self._owners_by_job[job.id] = member.name
                 return _decode(_decode_listing, body)
         self._owners_by_job.pop(job.id, None)
-        return await self._read_from_store(job, after, wait_until)
+        return await self._read_from_store(job, after, wait_until, memory)
 
     async def _read_from_store(
-        self, job: records.Job, after: int, wait_until: float
+        self,
+        job: records.Job,
+        after: int,
+        wait_until: float,
+        memory: CallMemory | None,
     ) -> owner_api.Listing:
         key = f"{records.HEADS}{records.quote(job.id)}"
         while True:
@@ -264,6 +317,8 @@
                 break
             remaining_s = deadlines.compute_remaining(wait_until)
             await anyio.sleep(min(HEAD_POLL_INTERVAL_S, remaining_s))
+        if memory is not None and head.count() > after:
+            await memory.hold(PAGE_FACTOR * records.MAX_PART_BYTES)
         found = await self._read_parts(job, head, after)
         return owner_api.Listing(job.total, after + len(found), found)
 
@@ -285,13 +340,17 @@
             start = end
         return tuple(found)
 
-    async def find_item(self, job: records.Job, item: str) -> bytes | None:
+    async def find_item(
+        self, job: records.Job, item: str, memory: CallMemory | None = None
+    ) -> bytes | None:
         """Return the body of a job's item; None if there is no such item.
 
         Raises:
-            UnavailableError: A store call failed, or a value is missing or
-                invalid.
+            UnavailableError: A store call failed, a value is missing or
+                invalid, or there was no memory for reading it.
         """
+        if memory is not None:
+            await memory.hold(job_memory.measure_read(job))
         try:
             part = 0
             while part < job.parts:
@@ -340,6 +399,12 @@
         return True
 
 
+def _read_length(head: upstream.Head) -> int:
+    """Return the length that a response states; 0 if it states none."""
+    length = head.get(b"content-length") or b""
+    return int(length) if length.isdigit() else 0
+
+
 def create_reader(
     store: base.Store,
     directory: registry.Directory,
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -11,6 +11,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import intake as intake_lib
 from eelgrassgate.batches import owner_api
@@ -232,6 +233,29 @@
         responder: downstream.Responder,
     ) -> None:
         """Reply to a request about an existing job."""
+        with self._admission.budget.open(
+            memory_budget.Kind.RESULT, workspace
+        ) as account:
+            await self._handle_job_call(
+                job_call,
+                call,
+                workspace,
+                wait_s,
+                responder,
+                results.CallMemory(
+                    account, call.deadline - submission.RESPONSE_MARGIN_S
+                ),
+            )
+
+    async def _handle_job_call(
+        self,
+        job_call: JobCall,
+        call: calls.Call,
+        workspace: str,
+        wait_s: float,
+        responder: downstream.Responder,
+        memory: results.CallMemory,
+    ) -> None:
         try:
             job = await self._reader.find_job(job_call.job, workspace)
             if job is None:
@@ -239,12 +263,12 @@
             elif isinstance(job_call, ReadResults):
                 wait_until = deadlines.after(min(wait_s, MAX_WAIT_S))
                 listing = await self._reader.read_results(
-                    job, job_call.after, wait_until
+                    job, job_call.after, wait_until, memory
                 )
                 body = self._batch_dialect.write_listing(listing)
                 await responder.reply(OK, _JSON_HEADERS, body)
             elif isinstance(job_call, ReadItem):
-                await self._reply_item(job, job_call.item, responder)
+                await self._reply_item(job, job_call.item, responder, memory)
             else:
                 outcome = await submission.cancel(self._store, call, job.id)
                 logs.log_message(
@@ -263,9 +287,13 @@
             await responder.reply(answer.status, answer.headers)
 
     async def _reply_item(
-        self, job: records.Job, item: str, responder: downstream.Responder
+        self,
+        job: records.Job,
+        item: str,
+        responder: downstream.Responder,
+        memory: results.CallMemory,
     ) -> None:
-        found = await self._reader.find_item(job, item)
+        found = await self._reader.find_item(job, item, memory)
         if found is None:
             await responder.reply(NOT_FOUND)
         else:
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -21,6 +21,7 @@
 from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import items as items_lib
 from eelgrassgate.batches import records
+from eelgrassgate.batches import results
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.platform import kv
@@ -338,6 +339,57 @@
         self.assertEqual(len(counts), COUNT * 4)
 
 
+class ReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_many_readers_at_once_stay_within_the_memory(self) -> None:
+        budget = memory_budget.Budget(30 * MB)
+        store = test_batches.make_store()
+        item = calls.BatchItem("i", "/batch/1", {}, bytes(ITEM_BYTES))
+        await test_batches.submit(store, items=(item,))
+        text = "x" * 600_000
+        owned = await test_batches.claim_job(store)
+        for progress in owned.waiting:
+            progress.event_data = [text]
+            owned.record_result(progress, records.COMPLETED, "")
+        owned.waiting = []
+        await owned.commit()
+        prefixes = (records.ITEMS, records.RESULTS)
+        now = most = 0
+        store_read = faulty.FaultyStore.read
+
+        async def read(read_from: faulty.FaultyStore, key: str) -> Any:
+            nonlocal now, most
+            if not key.startswith(prefixes):
+                return await store_read(read_from, key)
+            now += 1
+            most = max(most, now)
+            try:
+                await anyio.sleep(0.02)
+                return await store_read(read_from, key)
+            finally:
+                now -= 1
+
+        async def call(number: int) -> None:
+            reader = test_batches.make_reader(store)
+            with budget.open(memory_budget.Kind.RESULT, "w") as account:
+                memory = results.CallMemory(account, deadlines.after(TIMEOUT_S))
+                if number % 2:
+                    body = await reader.find_item(owned.job, "i", memory)
+                    self.assertEqual(len(body or b""), ITEM_BYTES)
+                else:
+                    listing = await reader.read_results(
+                        owned.job, 0, 0.0, memory
+                    )
+                    self.assertEqual(listing.results[0].text, text)
+
+        with mock.patch.object(faulty.FaultyStore, "read", read):
+            async with anyio.create_task_group() as tasks:
+                for number in range(40):
+                    tasks.start_soon(call, number)
+        # Each takes 2.8 MB, and the calls of one workspace half of the budget.
+        self.assertLessEqual(most, 5)
+        self.assertEqual(budget.held_bytes, 0)
+
+
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def run_load(self, load: memory_load.Load) -> memory_load.Row:
         with contextlib.ExitStack() as stack:
