Charge relayed store calls to the memory of the process that relays

Callers saw: instances that lose the key-value service send their jobs' writes and reads through a peer; any number of them at once, each of up to several MB, grow in the peer, which ends when it runs out of memory (FAULT).

Cause: something that others choose grows in a process without a bound of that process.

Now a relayed call is charged for its copies before it is sent, and for its response once the length is known. Without memory within a second it is answered 503 and was not sent, so that the caller tries another way; a response without room ends as 502, which leaves open whether the call took effect. Calls of a few kB don't wait.

The test failed before, with the charge left out: "AssertionError: True != False" for a call of 900 kB while memory is short.

--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -215,7 +215,7 @@
                 async with self._pool.use(member.relay_address) as connection:
                     await connection.start(request, lambda head: True)
                     if memory is not None:
-                        size = _read_length(connection.head)
+                        size = connection.head.get_length()
                         await memory.hold(size * PAGE_FACTOR)
                     answer = await connection.read_body()
                     status = connection.head.status
@@ -399,12 +399,6 @@
         return True
 
 
-def _read_length(head: upstream.Head) -> int:
-    """Return the length that a response states; 0 if it states none."""
-    length = head.get(b"content-length") or b""
-    return int(length) if length.isdigit() else 0
-
-
 def create_reader(
     store: base.Store,
     directory: registry.Directory,
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -126,7 +126,9 @@
             adapters.store.is_directly_reachable,
         )
         adapters.store.set_relays(self.reports.get_relays)
-        self.relay = relay.create_relay(node_settings.store_address)
+        self.relay = relay.create_relay(
+            node_settings.store_address, self.budget
+        )
         self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self.endpoint_limits = endpoint_limits.create_endpoint_limits(
             self.member,
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -61,6 +61,12 @@
                 return value
         return None
 
+    def get_length(self) -> int:
+        """Return the stated length of the body; 0 if none is stated."""
+        length = self.get(b"content-length") or b""
+        # int() fails on thousands of digits.
+        return int(length[:15]) if length.isdigit() else 0
+
 
 class ExchangeError(Exception):
     """An exchange that failed.
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -9,7 +9,9 @@
 
 import anyio
 
+from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
 
@@ -20,6 +22,15 @@
 CALL_TIMEOUT_S: Final = 29.0
 BAD_GATEWAY: Final = 502
 NOT_FOUND: Final = 404
+SERVICE_UNAVAILABLE: Final = 503
+# Holder of relayed calls in the memory budget.
+HOLDER: Final = "peers"
+# Copies of a body that are held while it is relayed, besides the one that the
+# server of this process has read.
+COPIES: Final = 2
+# How long a call waits for memory; peers wait 2 s for an answer and may ask
+# others meanwhile.
+MEMORY_WAIT_S: Final = 1.0
 JOBS_PATH: Final = b"/jobs/"
 CONFIG_PATH: Final = b"/config"
 _CONNECTION_HEADERS: Final = frozenset(
@@ -35,8 +46,9 @@
         config_handler: Handles calls for the configuration.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, budget: memory_budget.Budget) -> None:
         """Initialize; see `create_relay`."""
+        self._budget = budget
         self._address = address
         self.job_handler: downstream.Handler | None = None
         self.config_handler: downstream.Handler | None = None
@@ -65,11 +77,26 @@
             else:
                 await handler(incoming, responder)
             return
+        with self._budget.open(memory_budget.Kind.PEER, HOLDER) as account:
+            await self._relay(incoming, responder, account)
+
+    async def _relay(
+        self,
+        incoming: downstream.IncomingRequest,
+        responder: downstream.Responder,
+        account: memory_budget.Account,
+    ) -> None:
+        """Relay a call; its copies are charged until it is answered."""
         headers = [
             one for one in incoming.headers if one[0] not in _CONNECTION_HEADERS
         ]
         if incoming.method != b"GET":
             headers.append((b"content-length", b"%d" % len(incoming.body)))
+        wait_until = deadlines.after(MEMORY_WAIT_S)
+        if not await account.grow(COPIES * len(incoming.body), wait_until):
+            # The call was not sent.
+            await responder.reply(SERVICE_UNAVAILABLE)
+            return
         request = upstream.Request(
             incoming.method, incoming.target, tuple(headers), incoming.body
         )
@@ -77,6 +104,9 @@
             with anyio.fail_after(CALL_TIMEOUT_S):
                 async with self._pool.use(self._address) as connection:
                     await connection.start(request, lambda head: True)
+                    size = COPIES * connection.head.get_length()
+                    if not await account.grow(size, wait_until):
+                        raise upstream.ExchangeError("memory is short", True)
                     body = await connection.read_body()
                     status = connection.head.status
         except (upstream.ExchangeError, TimeoutError) as error:
@@ -87,6 +117,11 @@
         await responder.reply(status, (), body)
 
 
-def create_relay(address: str) -> Relay:
-    """Create a relay to `host:port`."""
-    return Relay(address)
+def create_relay(address: str, budget: memory_budget.Budget) -> Relay:
+    """Create a relay.
+
+    Args:
+        address: `host:port` to relay to.
+        budget: The memory budget of the process.
+    """
+    return Relay(address, budget)
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -12,6 +12,7 @@
 
 import anyio
 import msgspec
+from returns import result
 
 from bench import memory_load
 from bench import ports
@@ -25,11 +26,13 @@
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
 from eelgrassgate.platform import kv
+from eelgrassgate.store import base
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 from tests import site as site_lib
 from tests import test_batches
 from tests import test_forwarding
+from tests import test_peering
 
 TIMEOUT_S: Final = 10.0
 MB: Final = memory_budget.BYTES_PER_MB
@@ -390,6 +393,46 @@
         self.assertEqual(budget.held_bytes, 0)
 
 
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_relayed_call_without_memory_is_not_sent(self) -> None:
+        budget = memory_budget.Budget(LIMIT)
+        async with test_peering.open_relay(budget) as setup:
+            store = kv.create_kv_store(test_peering.UNUSED_ADDRESS)
+            store.set_relays(lambda: (setup.relay_address,))
+            for name, is_full, size, is_done in (
+                ("large, memory suffices", False, 900_000, True),
+                ("large, memory is short", True, 900_000, False),
+                ("small, memory is short", True, 1_000, True),
+            ):
+                with self.subTest(name):
+                    # The first call finds that the service is unreachable.
+                    await store.read("x")
+                    accounts = [budget.open(JOB, one) for one in "ab"]
+                    for account in accounts if is_full else ():
+                        while account.try_grow(SMALL):
+                            pass
+                    before = setup.backend.counts.writes
+                    write = base.Write(name, bytes(size))
+                    with anyio.fail_after(TIMEOUT_S):
+                        answer = await store.commit(
+                            base.Transaction((), (write,))
+                        )
+                    self.assertEqual(
+                        isinstance(answer, result.Success), is_done
+                    )
+                    if not is_done:
+                        fault = answer.failure().fault
+                        self.assertIs(fault, base.Fault.NOT_DONE)
+                    self.assertEqual(
+                        setup.backend.counts.writes, before + is_done
+                    )
+                    for account in accounts:
+                        account.close()
+                    await anyio.sleep(kv.RELAY_COOLDOWN_S)
+            self.assertEqual(budget.held_bytes, 0)
+            await store.close()
+
+
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def run_load(self, load: memory_load.Load) -> memory_load.Row:
         with contextlib.ExitStack() as stack:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -472,7 +472,7 @@
 
     async def test_odd_calls_of_peers_do_not_end_the_process(self) -> None:
         (port,) = loopback.find_free_ports(1)
-        server = relay.create_relay("127.0.0.1:9")
+        server = relay.create_relay("127.0.0.1:9", site_lib.make_budget())
         pool = upstream.create_pool(0.2)
         address = f"127.0.0.1:{port}"
         host = (b"host", b"a")
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -17,6 +17,7 @@
 from starlette import routing
 
 from eelgrassgate import deadlines
+from eelgrassgate import memory_budget
 from eelgrassgate import outcomes
 from eelgrassgate.batches import daemon as batch_daemon
 from eelgrassgate.peering import datagrams
@@ -33,6 +34,7 @@
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
 from tests import loopback
+from tests import site as site_lib
 
 TEST_TIMEOUT_S: Final = 5.0
 # Address without a listener; connections are refused.
@@ -390,14 +392,18 @@
 
 
 @contextlib.asynccontextmanager
-async def open_relay() -> AsyncIterator[_Setup]:
+async def open_relay(
+    budget: memory_budget.Budget | None = None,
+) -> AsyncIterator[_Setup]:
     setup = _Setup()
     (port,) = loopback.find_free_ports(1)
     setup.relay_address = f"127.0.0.1:{port}"
     async with loopback.serve(kv_standin.create_app(setup.backend)) as url:
         setup.address = url.removeprefix("http://")
         async with anyio.create_task_group() as tasks:
-            relay_server = relay.create_relay(setup.address)
+            relay_server = relay.create_relay(
+                setup.address, budget or site_lib.make_budget()
+            )
             tasks.start_soon(relay_server.run, setup.relay_address)
             await anyio.wait_all_tasks_blocked()
             yield setup
