Charge cached job records, whose paths may be long

Cause: something that others choose grows in a process without a bound of that process. The cache of job records was bounded by their number.

Now records are charged by their texts, are kept only while there is room, and give way to other charges.

The test failed before, with the charge left out: 1,000 records with paths of 16 kB were all kept beside a budget of 4 MB.

--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+import sys
 from typing import Final
 from typing import TypeVar
 import urllib.parse
@@ -31,8 +32,9 @@
 # Bytes held for each byte of a page of results, from its reception until the
 # caller has it: received, joined, decoded and encoded as JSON.
 PAGE_FACTOR: Final = 4
-# Cached job records take a few hundred bytes each.
 MAX_CACHED_JOBS: Final = 4_000
+# Bytes that a cached job record takes besides its texts.
+JOB_BYTES: Final = 500
 # After this time without a response from an owner the store is read instead.
 OWNER_TIMEOUT_S: Final = 0.4
 # Processes queried before the store: the likely owner and its successor.
@@ -126,8 +128,10 @@
             OrderedDict()
         )
         self._results_account = budget.open(memory_budget.Kind.RESULT, CACHES)
+        self._jobs_account = budget.open(memory_budget.Kind.RESULT, CACHES)
         budget.add_cache(self._evict_value)
         budget.add_cache(self._evict_results)
+        budget.add_cache(self._evict_job)
 
     async def find_job(self, job: str, workspace: str) -> records.Job | None:
         """Return a workspace's job; None only if it does not exist.
@@ -157,10 +161,22 @@
         return None
 
     def _cache_job(self, job: records.Job) -> None:
+        if job.id in self._jobs_by_id:
+            return
+        if not self._jobs_account.try_keep(_measure_job(job)):
+            return
         self._jobs_by_id[job.id] = job
         if len(self._jobs_by_id) > MAX_CACHED_JOBS:
-            dropped, _ = self._jobs_by_id.popitem(last=False)
-            self._owners_by_job.pop(dropped, None)
+            self._evict_job()
+
+    def _evict_job(self) -> bool:
+        """Drop the job record that was cached first."""
+        if not self._jobs_by_id:
+            return False
+        name, dropped = self._jobs_by_id.popitem(last=False)
+        self._owners_by_job.pop(name, None)
+        self._jobs_account.shrink(_measure_job(dropped))
+        return True
 
     async def announce(self, job: records.Job, revision: int) -> None:
         """Announce a job that was just accepted to its likely owner.
@@ -294,7 +310,8 @@
                 member, b"GET", target, wait_s=wait_s, memory=memory
             )
             if body is not None:
-                self._owners_by_job[job.id] = member.name
+                if job.id in self._jobs_by_id:
+                    self._owners_by_job[job.id] = member.name
                 return _decode(_decode_listing, body)
         self._owners_by_job.pop(job.id, None)
         return await self._read_from_store(job, after, wait_until, memory)
@@ -399,6 +416,12 @@
         return True
 
 
+def _measure_job(job: records.Job) -> int:
+    """Return the memory that a cached job record takes."""
+    texts = (job.id, job.workspace, job.host, job.path)
+    return JOB_BYTES + sum(map(sys.getsizeof, texts))
+
+
 def create_reader(
     store: base.Store,
     directory: registry.Directory,
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -25,10 +25,12 @@
 from eelgrassgate.batches import results
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
+from eelgrassgate.peering import registry
 from eelgrassgate.platform import kv
 from eelgrassgate.store import base
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
+from eelgrassgate.store import mirror
 from tests import site as site_lib
 from tests import test_batches
 from tests import test_forwarding
@@ -343,6 +345,31 @@
 
 
 class ReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_cached_records_of_jobs_with_long_paths_give_way(
+        self,
+    ) -> None:
+        budget = memory_budget.Budget(4 * MB)
+        store = test_batches.make_store()
+        directory = registry.create_directory(
+            mirror.create_mirror(store, registry.MEMBERS_PREFIX)
+        )
+        reader: Any = results.create_reader(
+            store, directory, lambda name: False, budget
+        )
+        for number in range(1_000):
+            path = f"/batch/{number}" + "x" * 16_000
+            job = records.Job(f"j{number}", "w", "h", path, 1, 1, 1.0, 2.0)
+            await reader.announce(job, 1)
+        cached = sum(len(job.path) for job in reader._jobs_by_id.values())
+        self.assertGreater(cached, MB)
+        self.assertLessEqual(cached, budget.held_bytes)
+        account = budget.open(JOB, "a")
+        self.assertTrue(account.try_grow(2 * MB))
+        account.close()
+        while reader._evict_job():
+            pass
+        self.assertEqual(budget.held_bytes, 0)
+
     async def test_many_readers_at_once_stay_within_the_memory(self) -> None:
         budget = memory_budget.Budget(30 * MB)
         store = test_batches.make_store()
