--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+import sys
 from typing import Final
 from typing import TypeVar
 import urllib.parse
@@ -14,6 +15,7 @@
 from eelgrassgate import decoding
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
+from eelgrassgate.batches import job_memory
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import stored_items
@@ -27,8 +29,12 @@
 MAX_CACHE_BYTES: Final = 24_000_000
 # Holder of the caches in the memory budget.
 CACHES: Final = "caches"
-# Cached job records take a few hundred bytes each.
+# Bytes held for each byte of a page of results, from its reception until the
+# caller has it: received, joined, decoded and encoded as JSON.
+PAGE_FACTOR: Final = 4
 MAX_CACHED_JOBS: Final = 4_000
+# Bytes that a cached job record takes besides its texts.
+JOB_BYTES: Final = 500
 # After this time without a response from an owner the store is read instead.
 OWNER_TIMEOUT_S: Final = 0.4
 # Processes queried before the store: the likely owner and its successor.
@@ -71,6 +77,34 @@
         raise UnavailableError(f"invalid value: {error}") from error
 
 
+class CallMemory:
+    """The memory of one call, from its first read until it is answered."""
+
+    def __init__(
+        self, account: memory_budget.Account, wait_until: float
+    ) -> None:
+        """Initialize.
+
+        Args:
+            account: The call's account.
+            wait_until: Monotonic time until which the call may wait.
+        """
+        self._account = account
+        self._wait_until = wait_until
+
+    async def hold(self, size: int) -> None:
+        """Charge what a read takes, if the call holds less.
+
+        Raises:
+            UnavailableError: There was no memory in time.
+        """
+        missing = size - self._account.held_bytes
+        if missing > 0 and not await self._account.grow(
+            missing, self._wait_until
+        ):
+            raise UnavailableError("memory is short")
+
+
 class Reader:
     """Reads from job owners and falls back to the store."""
 
@@ -94,8 +128,10 @@
             OrderedDict()
         )
         self._results_account = budget.open(memory_budget.Kind.RESULT, CACHES)
+        self._jobs_account = budget.open(memory_budget.Kind.RESULT, CACHES)
         budget.add_cache(self._evict_value)
         budget.add_cache(self._evict_results)
+        budget.add_cache(self._evict_job)
 
     async def find_job(self, job: str, workspace: str) -> records.Job | None:
         """Return a workspace's job; None only if it does not exist.
@@ -125,10 +161,22 @@
         return None
 
     def _cache_job(self, job: records.Job) -> None:
+        if job.id in self._jobs_by_id:
+            return
+        if not self._jobs_account.try_keep(_measure_job(job)):
+            return
         self._jobs_by_id[job.id] = job
         if len(self._jobs_by_id) > MAX_CACHED_JOBS:
-            dropped, _ = self._jobs_by_id.popitem(last=False)
-            self._owners_by_job.pop(dropped, None)
+            self._evict_job()
+
+    def _evict_job(self) -> bool:
+        """Drop the job record that was cached first."""
+        if not self._jobs_by_id:
+            return False
+        name, dropped = self._jobs_by_id.popitem(last=False)
+        self._owners_by_job.pop(name, None)
+        self._jobs_account.shrink(_measure_job(dropped))
+        return True
 
     async def announce(self, job: records.Job, revision: int) -> None:
         """Announce a job that was just accepted to its likely owner.
@@ -166,8 +214,13 @@
         target: str,
         body: bytes = b"",
         wait_s: float = 0.0,
+        memory: CallMemory | None = None,
     ) -> bytes | None:
-        """Send a request to another process; None unless it returns 200."""
+        """Send a request to another process; None unless it returns 200.
+
+        Raises:
+            UnavailableError: There was no memory for the response in time.
+        """
         headers = (
             (b"host", member.relay_address.encode()),
             (b"content-length", b"%d" % len(body)),
@@ -177,6 +230,9 @@
             with anyio.fail_after(wait_s + OWNER_TIMEOUT_S):
                 async with self._pool.use(member.relay_address) as connection:
                     await connection.start(request, lambda head: True)
+                    if memory is not None:
+                        size = connection.head.get_length()
+                        await memory.hold(size * PAGE_FACTOR)
                     answer = await connection.read_body()
                     status = connection.head.status
         except (upstream.ExchangeError, TimeoutError) as error:
@@ -187,20 +243,25 @@
         return answer if status == OK else None
 
     async def read_results(
-        self, job: records.Job, after: int, wait_until: float
+        self,
+        job: records.Job,
+        after: int,
+        wait_until: float,
+        memory: CallMemory | None = None,
     ) -> owner_api.Listing:
         """Return results from position `after` on.
 
         Waits until `wait_until` if there are none yet.
 
         Raises:
-            UnavailableError: Neither an owner nor the store responded.
+            UnavailableError: Neither an owner nor the store responded, or
+                there was no memory for the results.
         """
         known = self._results_by_job.get(job.id, [])
         if after < len(known):
             found = owner_api.select_page(known, after)
             return owner_api.Listing(job.total, after + len(found), found)
-        fetched = await self._fetch_results(job, after, wait_until)
+        fetched = await self._fetch_results(job, after, wait_until, memory)
         if after == len(known):
             # Positions of results never change, so they can be cached.
             self._cache_results(job.id, known, fetched)
@@ -225,7 +286,11 @@
             self._evict_results()
 
     async def _fetch_results(
-        self, job: records.Job, after: int, wait_until: float
+        self,
+        job: records.Job,
+        after: int,
+        wait_until: float,
+        memory: CallMemory | None,
     ) -> owner_api.Listing:
         """Fetch results from the owners, then from the store.
 
@@ -242,16 +307,21 @@
             )
             target = f"{owner_api.PATH}{records.quote(job.id)}?{query}"
             body = await self._query_owner(
-                member, b"GET", target, wait_s=wait_s
+                member, b"GET", target, wait_s=wait_s, memory=memory
             )
             if body is not None:
-                self._owners_by_job[job.id] = member.name
+                if job.id in self._jobs_by_id:
+                    self._owners_by_job[job.id] = member.name
                 return _decode(_decode_listing, body)
         self._owners_by_job.pop(job.id, None)
-        return await self._read_from_store(job, after, wait_until)
+        return await self._read_from_store(job, after, wait_until, memory)
 
     async def _read_from_store(
-        self, job: records.Job, after: int, wait_until: float
+        self,
+        job: records.Job,
+        after: int,
+        wait_until: float,
+        memory: CallMemory | None,
     ) -> owner_api.Listing:
         key = f"{records.HEADS}{records.quote(job.id)}"
         while True:
@@ -264,6 +334,8 @@
                 break
             remaining_s = deadlines.compute_remaining(wait_until)
             await anyio.sleep(min(HEAD_POLL_INTERVAL_S, remaining_s))
+        if memory is not None and head.count() > after:
+            await memory.hold(PAGE_FACTOR * records.MAX_PART_BYTES)
         found = await self._read_parts(job, head, after)
         return owner_api.Listing(job.total, after + len(found), found)
 
@@ -285,13 +357,17 @@
             start = end
         return tuple(found)
 
-    async def find_item(self, job: records.Job, item: str) -> bytes | None:
+    async def find_item(
+        self, job: records.Job, item: str, memory: CallMemory | None = None
+    ) -> bytes | None:
         """Return the body of a job's item; None if there is no such item.
 
         Raises:
-            UnavailableError: A store call failed, or a value is missing or
-                invalid.
+            UnavailableError: A store call failed, a value is missing or
+                invalid, or there was no memory for reading it.
         """
+        if memory is not None:
+            await memory.hold(job_memory.measure_read(job))
         try:
             part = 0
             while part < job.parts:
@@ -340,6 +416,12 @@
         return True
 
 
+def _measure_job(job: records.Job) -> int:
+    """Return the memory that a cached job record takes."""
+    texts = (job.id, job.workspace, job.host, job.path)
+    return JOB_BYTES + sum(map(sys.getsizeof, texts))
+
+
 def create_reader(
     store: base.Store,
     directory: registry.Directory,
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -12,6 +12,7 @@
 
 import anyio
 import msgspec
+from returns import result
 
 from bench import memory_load
 from bench import ports
@@ -21,14 +22,19 @@
 from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import items as items_lib
 from eelgrassgate.batches import records
+from eelgrassgate.batches import results
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
+from eelgrassgate.peering import registry
 from eelgrassgate.platform import kv
+from eelgrassgate.store import base
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
+from eelgrassgate.store import mirror
 from tests import site as site_lib
 from tests import test_batches
 from tests import test_forwarding
+from tests import test_peering
 
 TIMEOUT_S: Final = 10.0
 MB: Final = memory_budget.BYTES_PER_MB
@@ -338,6 +344,122 @@
         self.assertEqual(len(counts), COUNT * 4)
 
 
+class ReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_cached_records_of_jobs_with_long_paths_give_way(
+        self,
+    ) -> None:
+        budget = memory_budget.Budget(4 * MB)
+        store = test_batches.make_store()
+        directory = registry.create_directory(
+            mirror.create_mirror(store, registry.MEMBERS_PREFIX)
+        )
+        reader: Any = results.create_reader(
+            store, directory, lambda name: False, budget
+        )
+        for number in range(1_000):
+            path = f"/batch/{number}" + "x" * 16_000
+            job = records.Job(f"j{number}", "w", "h", path, 1, 1, 1.0, 2.0)
+            await reader.announce(job, 1)
+        cached = sum(len(job.path) for job in reader._jobs_by_id.values())
+        self.assertGreater(cached, MB)
+        self.assertLessEqual(cached, budget.held_bytes)
+        account = budget.open(JOB, "a")
+        self.assertTrue(account.try_grow(2 * MB))
+        account.close()
+        while reader._evict_job():
+            pass
+        self.assertEqual(budget.held_bytes, 0)
+
+    async def test_many_readers_at_once_stay_within_the_memory(self) -> None:
+        budget = memory_budget.Budget(30 * MB)
+        store = test_batches.make_store()
+        item = calls.BatchItem("i", "/batch/1", {}, bytes(ITEM_BYTES))
+        await test_batches.submit(store, items=(item,))
+        text = "x" * 600_000
+        owned = await test_batches.claim_job(store)
+        for progress in owned.waiting:
+            progress.event_data = [text]
+            owned.record_result(progress, records.COMPLETED, "")
+        owned.waiting = []
+        await owned.commit()
+        prefixes = (records.ITEMS, records.RESULTS)
+        now = most = 0
+        store_read = faulty.FaultyStore.read
+
+        async def read(read_from: faulty.FaultyStore, key: str) -> Any:
+            nonlocal now, most
+            if not key.startswith(prefixes):
+                return await store_read(read_from, key)
+            now += 1
+            most = max(most, now)
+            try:
+                await anyio.sleep(0.02)
+                return await store_read(read_from, key)
+            finally:
+                now -= 1
+
+        async def call(number: int) -> None:
+            reader = test_batches.make_reader(store)
+            with budget.open(memory_budget.Kind.RESULT, "w") as account:
+                memory = results.CallMemory(account, deadlines.after(TIMEOUT_S))
+                if number % 2:
+                    body = await reader.find_item(owned.job, "i", memory)
+                    self.assertEqual(len(body or b""), ITEM_BYTES)
+                else:
+                    listing = await reader.read_results(
+                        owned.job, 0, 0.0, memory
+                    )
+                    self.assertEqual(listing.results[0].text, text)
+
+        with mock.patch.object(faulty.FaultyStore, "read", read):
+            async with anyio.create_task_group() as tasks:
+                for number in range(40):
+                    tasks.start_soon(call, number)
+        # Each takes 2.8 MB, and the calls of one workspace half of the budget.
+        self.assertLessEqual(most, 5)
+        self.assertEqual(budget.held_bytes, 0)
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_relayed_call_without_memory_is_not_sent(self) -> None:
+        budget = memory_budget.Budget(LIMIT)
+        async with test_peering.open_relay(budget) as setup:
+            store = kv.create_kv_store(test_peering.UNUSED_ADDRESS)
+            store.set_relays(lambda: (setup.relay_address,))
+            for name, is_full, size, is_done in (
+                ("large, memory suffices", False, 900_000, True),
+                ("large, memory is short", True, 900_000, False),
+                ("small, memory is short", True, 1_000, True),
+            ):
+                with self.subTest(name):
+                    # The first call finds that the service is unreachable.
+                    await store.read("x")
+                    accounts = [budget.open(JOB, one) for one in "ab"]
+                    for account in accounts if is_full else ():
+                        while account.try_grow(SMALL):
+                            pass
+                    before = setup.backend.counts.writes
+                    write = base.Write(name, bytes(size))
+                    with anyio.fail_after(TIMEOUT_S):
+                        answer = await store.commit(
+                            base.Transaction((), (write,))
+                        )
+                    self.assertEqual(
+                        isinstance(answer, result.Success), is_done
+                    )
+                    if not is_done:
+                        fault = answer.failure().fault
+                        self.assertIs(fault, base.Fault.NOT_DONE)
+                    self.assertEqual(
+                        setup.backend.counts.writes, before + is_done
+                    )
+                    for account in accounts:
+                        account.close()
+                    await anyio.sleep(kv.RELAY_COOLDOWN_S)
+            self.assertEqual(budget.held_bytes, 0)
+            await store.close()
+
+
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def run_load(self, load: memory_load.Load) -> memory_load.Row:
         with contextlib.ExitStack() as stack:
