Read request bodies only while the memory of the process allows it

Cause: whatever callers and endpoints send was read and kept, in several copies, and no line of the code counted it. - Bodies were read without asking for memory. Their parts, their joined copy and the copy behind the head of the request were held at once. - anyio leaves an accepted connection reading until a `receive` has waited once, so that bodies were read into the queue of connections that nobody read; uvloop takes all that has arrived at once, and the kernel's buffer grows to megabytes. - The refusal of a request whose client still sends was lost by a reset. - glibc raises its threshold for mapped blocks with the first large body, and keeps memory after a peak (708 MB).

Now a body is charged to the budget of the process before it is read, for its workspace; the connection isn't read while memory is short, for at most 0.5 s, then the request is refused as not run, with a delay by when its turn would come. A refused client's bytes are discarded for at most 5 s and 8 MB, so that it sees the response. Bodies are sent in pieces from one copy. Receive buffers are bounded. Few pieces of large bodies are handled in each iteration of the event loop, so that small requests pass.

The benchmark now has its endpoints and the probe of small requests in processes of their own.

--- a/bench/memory_load.py
+++ b/bench/memory_load.py
@@ -11,9 +11,13 @@
 from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
+import errno
 import pathlib
+import random
+import socket
 import statistics
 import sys
 import tempfile
@@ -29,11 +33,12 @@
 
 from bench import ports
 from bench import processes
+from bench import small_requests
 
 MB: Final = 1_000_000
 MEMORY_MB: Final = 300
-GATEWAY_IP: Final = "127.88.0.1"
-BATCH_IP: Final = "127.88.0.2"
+# Loopback networks that no other benchmark or test uses.
+NETWORKS: Final = range(129, 250)
 CALLERS_PORT: Final = 7_801
 READY_PORT: Final = 7_802
 METRICS_PORT: Final = 9_090
@@ -43,19 +48,29 @@
 SLOTS: Final = 400
 # Time limit of the requests of a load.
 REQUEST_TIMEOUT_S: Final = 10.0
-# How long the endpoint works on a large request.
-WORK_S: Final = 2.0
-ANSWER_BYTES: Final = 6 * MB
 SAMPLE_INTERVAL_S: Final = 0.05
 # Sampled further after a load has ended.
 SETTLE_S: Final = 3.0
-SMALL_INTERVAL_S: Final = 0.05
-SMALL_BODY: Final = bytes(2_000)
+PROBER_START_S: Final = 0.5
 PIECE_BYTES: Final = 65_536
 WARM_UP_S: Final = 2.0
 NO_ANSWER: Final = "none"
 
 
+def _pick_network() -> str:
+    """Return a loopback network that no run of this tool uses now."""
+    for number in random.sample(NETWORKS, len(NETWORKS)):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((f"127.{number}.0.1", CALLERS_PORT))
+            return f"127.{number}"
+    raise OSError(errno.EADDRINUSE, "all loopback networks are in use")
+
+
+_NETWORK: Final = _pick_network()
+GATEWAY_IP: Final = f"{_NETWORK}.0.1"
+BATCH_IP: Final = f"{_NETWORK}.0.2"
+
+
 class Load(msgspec.Struct, frozen=True):
     """A load: `count` connections at once, each with one request.
 
@@ -230,7 +245,7 @@
     return await _exchange(send)
 
 
-def _list_loads() -> list[Load]:
+def list_loads() -> list[Load]:
     loads: list[Load] = []
     for count in (10, 50, 150, 300):
         for size in (64_000, MB, 4 * MB):
@@ -268,45 +283,6 @@
     return loads
 
 
-async def _serve_endpoint(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Answer requests by their path; keeps nothing of their bodies."""
-    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-        while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            fields = dict(
-                line.lower().split(": ", 1)
-                for line in head.split("\r\n")[1:]
-                if ": " in line
-            )
-            left = int(fields.get("content-length", "0"))
-            is_large_body = left > len(SMALL_BODY)
-            while left:
-                left -= len(await reader.read(min(left, PIECE_BYTES)))
-            path = head.split(" ")[1]
-            start = (
-                f"HTTP/1.1 200 OK\r\nRequest-Id: {fields['request-id']}\r\n"
-                "Response-Signature: 1.1\r\n"
-            ).encode()
-            if path.startswith("/large/"):
-                writer.write(
-                    start + b"Content-Length: %d\r\n\r\n" % ANSWER_BYTES
-                )
-                for _ in range(ANSWER_BYTES // PIECE_BYTES):
-                    writer.write(bytes(PIECE_BYTES))
-                    await writer.drain()
-                writer.write(bytes(ANSWER_BYTES % PIECE_BYTES))
-                continue
-            if is_large_body:
-                await asyncio.sleep(WORK_S)
-            event = b"id: 1\ndata: x\n\n"
-            length = b"Content-Length: %d\r\n" % len(event)
-            kind = b"Content-Type: text/event-stream\r\n\r\n"
-            writer.write(start + length + kind + event)
-    writer.close()
-
-
 def _write_settings(
     folder: pathlib.Path, name: str, ip: str, store_address: str
 ) -> pathlib.Path:
@@ -336,7 +312,9 @@
     return path
 
 
-def _make_route(prefix: str, kind: str) -> dict[str, Any]:
+def _make_route(
+    prefix: str, kind: str, service: str = "engine"
+) -> dict[str, Any]:
     return {
         "name": prefix.strip("/"),
         "host": HOST,
@@ -345,25 +323,29 @@
         "timeout-ms": int(REQUEST_TIMEOUT_S * 1000),
         "target-latency-ms": 5_000,
         "priority": 0,
-        "service": "engine",
+        "service": service,
         "max-attempts": 2,
         "completion-target-ms": 18_000,
         "retention-s": 60,
     }
 
 
-async def _write_documents(store_url: str, endpoint_address: str) -> None:
-    """Write the configuration and the endpoint's entry to the store."""
-    documents = {
+async def _write_documents(
+    store_url: str, addresses_by_service: Mapping[str, str]
+) -> None:
+    """Write the configuration and the endpoints' entries to the store."""
+    documents: dict[str, Any] = {
         "op/config": {
             "version": 1,
             "routes": [
                 _make_route("/stream/", "streaming"),
+                _make_route("/small/", "safe", "small"),
                 _make_route("/large/", "safe"),
                 _make_route("/batch/", "batch"),
             ],
             "services": [
-                {"name": "engine", "max-connections": SLOTS, "engine": {}}
+                {"name": name, "max-connections": SLOTS, "engine": {}}
+                for name in addresses_by_service
             ],
             "limits": {"idle-timeout-ms": 15_000},
             "tenants": [
@@ -371,9 +353,11 @@
                 for number, key in enumerate(KEYS)
             ],
         },
-        "servers/i-0": {
-            "service": "engine",
-            "address": endpoint_address,
+    }
+    for service, address in addresses_by_service.items():
+        documents[f"servers/i-{service}"] = {
+            "service": service,
+            "address": address,
             "zone": "z1",
             "version": "v1",
             "slots": SLOTS,
@@ -381,8 +365,7 @@
             "cold-remaining-ms": 0,
             "sequence": 1,
             "born": 1_800_000_000_000,
-        },
-    }
+        }
     puts = [
         {
             "key": key,
@@ -419,36 +402,22 @@
         return 0
 
 
-async def _send_small_requests(
-    answers: Counter[str], latencies_ms: list[float]
-) -> None:
-    async def send_one(number: int) -> None:
-        started_at = time.monotonic()
-        answers[await _send_body(number, "/stream/s", len(SMALL_BODY))] += 1
-        latencies_ms.append((time.monotonic() - started_at) * 1000.0)
-
-    async with anyio.create_task_group() as tasks:
-        number = 0
-        while True:
-            tasks.start_soon(send_one, number)
-            number += 1
-            await anyio.sleep(SMALL_INTERVAL_S)
-
-
 async def run_load(load: Load, folder: pathlib.Path) -> Row:
     """Serve one load by new processes and measure it."""
-    server = await asyncio.start_server(_serve_endpoint, ports.HOST, 0)
-    endpoint_port = server.sockets[0].getsockname()[1]
     store_port = ports.pick_port()
-    async with server, processes.run_processes(folder) as running:
+    async with processes.run_processes(folder) as running:
         running.start(
             "store", "eelgrassgate.standins.kv", ["--port", str(store_port)]
         )
+        addresses_by_service = {}
+        for service in ("engine", "small"):
+            port = ports.pick_port()
+            running.start(service, "bench.memory_endpoint", [str(port)])
+            await processes.wait_until_open(port)
+            addresses_by_service[service] = f"{ports.HOST}:{port}"
         await processes.wait_until_open(store_port)
         store_address = f"{ports.HOST}:{store_port}"
-        await _write_documents(
-            f"http://{store_address}", f"{ports.HOST}:{endpoint_port}"
-        )
+        await _write_documents(f"http://{store_address}", addresses_by_service)
         watched = []
         for role, ip in (("gateway", GATEWAY_IP), ("batch", BATCH_IP)):
             path = _write_settings(folder, role, ip, store_address)
@@ -466,22 +435,33 @@
 async def _measure(load: Load, watched: Sequence[processes.Process]) -> Row:
     peaks: dict[str, int] = {}
     answers: Counter[str] = Counter()
-    small_answers: Counter[str] = Counter()
-    latencies_ms: list[float] = []
 
     async def send_one(number: int) -> None:
         answers[await load.send(number)] += 1
 
-    started_at = time.monotonic()
     async with anyio.create_task_group() as samplers:
         samplers.start_soon(_sample_memory, watched, peaks)
-        samplers.start_soon(_send_small_requests, small_answers, latencies_ms)
-        async with anyio.create_task_group() as tasks:
-            for number in range(load.count):
-                tasks.start_soon(send_one, number)
-        took_s = time.monotonic() - started_at
-        await anyio.sleep(SETTLE_S)
+        async with await anyio.open_process(
+            [
+                *(sys.executable, "-m", "bench.small_requests"),
+                *(GATEWAY_IP, str(CALLERS_PORT), HOST, KEYS[0]),
+            ],
+            stderr=None,
+        ) as prober:
+            await anyio.sleep(PROBER_START_S)
+            started_at = time.monotonic()
+            async with anyio.create_task_group() as tasks:
+                for number in range(load.count):
+                    tasks.start_soon(send_one, number)
+            took_s = time.monotonic() - started_at
+            await anyio.sleep(SETTLE_S)
+            assert prober.stdin is not None
+            assert prober.stdout is not None
+            await prober.stdin.aclose()
+            printed = b"".join([part async for part in prober.stdout])
         samplers.cancel_scope.cancel()
+    small = msgspec.json.decode(printed, type=small_requests.Result)
+    latencies_ms = small.latencies_ms
     latencies_ms.sort()
     return Row(
         load.name,
@@ -489,7 +469,7 @@
         peaks["batch"] // MB,
         _read_resident(watched[0]) // MB,
         dict(answers),
-        dict(small_answers),
+        dict(small.answers),
         round(statistics.median(latencies_ms), 1),
         round(latencies_ms[int(len(latencies_ms) * 0.99)], 1),
         round(took_s, 1),
@@ -498,7 +478,7 @@
 
 
 async def _run_all(names: Sequence[str]) -> None:
-    for load in _list_loads():
+    for load in list_loads():
         if names and load.name not in names:
             continue
         with tempfile.TemporaryDirectory() as folder:
--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -12,6 +12,7 @@
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
+from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
 from eelgrassgate.http1 import upstream
 
@@ -186,7 +187,7 @@
         item.path.partition("?")[0],
         None,
         headers,
-        item.body,
+        downstream.Body(item.body),
         deadline,
         dialect.read_prompt_parts(headers),
     )
--- a/eelgrassgate/gateway/calls.py
+++ b/eelgrassgate/gateway/calls.py
@@ -28,7 +28,7 @@
         key: The caller's API key; None if the request has none.
         headers: The headers to forward, without hop-by-hop headers, the API
             key and headers that the gateway sets itself.
-        body: The request body.
+        content: Holds the request body.
         deadline: Monotonic time by which to respond: the caller stops waiting,
             or the route's timeout passes.
         prompt_parts: Ids of the parts of the prompt that other requests may
@@ -44,11 +44,16 @@
     path: str
     key: str | None
     headers: upstream.Headers
-    body: bytes
+    content: downstream.Body
     deadline: float
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ""
 
+    @property
+    def body(self) -> bytes:
+        """The request body; empty once it was released."""
+        return self.content.data
+
     def list_suspects(self) -> tuple[str, ...]:
         """Return what may be blamed if an endpoint ends under the call."""
         return evidence.list_suspects(self.prompt_parts, self.fingerprint)
@@ -111,6 +116,10 @@
 class Dialect(Protocol):
     """Wire format of requests and responses."""
 
+    def read_key(self, head: downstream.RequestHead) -> str | None:
+        """Parse a caller's API key; None if the request has none."""
+        ...
+
     def read_call(self, incoming: downstream.IncomingRequest) -> Call:
         """Parse a request."""
         ...
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -4,10 +4,13 @@
 
 import anyio
 
+from eelgrassgate import allocator
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate.batches import intake
 from eelgrassgate.batches import results
 from eelgrassgate.gateway import batch_calls
+from eelgrassgate.gateway import body_admission
 from eelgrassgate.gateway import forwarding
 from eelgrassgate.gateway import node as node_lib
 from eelgrassgate.gateway import rate_share as rate_share_lib
@@ -64,7 +67,15 @@
             self._shutdown,
         )
         self._listener = downstream.Listener(
-            self._read_limits, self._service.handle, self._is_closing
+            self._read_limits,
+            self._service.handle,
+            self._is_closing,
+            body_admission.create_body_admission(
+                node.budget,
+                memory_budget.Kind.REQUEST,
+                self._find_workspace,
+                adapters.dialect.write_refusal_headers,
+            ),
         )
         self._readiness_listener = downstream.Listener(
             downstream.Limits,
@@ -78,6 +89,11 @@
             self._node.discovery.is_loaded() and not self._shutdown.is_draining
         )
 
+    def _find_workspace(self, head: downstream.RequestHead) -> str:
+        key = self._node.adapters.dialect.read_key(head)
+        workspaces = self._node.discovery.get_catalog().workspace_by_key
+        return workspaces.get(key or "", "")
+
     def _read_limits(self) -> downstream.Limits:
         return self._node.discovery.get_catalog().limits
 
@@ -157,5 +173,6 @@
         node_settings: Settings of this process.
         adapters: Adapters to the platform.
     """
+    allocator.limit_retention()
     node = node_lib.create_node(node_settings, registry.Role.GATEWAY, adapters)
     return Gateway(node)
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from eelgrassgate.gateway import shutdown as shutdown_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import events
+from eelgrassgate.http1 import pacing
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import loads
 from eelgrassgate.quarantine import quarantine as quarantine_lib
@@ -464,6 +465,8 @@
             progress.has_output = True
             parts.append(part)
             size += len(part)
+            if size > pacing.UNPACED_BYTES:
+                await self._pool.pacer.wait_turn()
             if size > MAX_BUFFERED_BYTES and can_retry:
                 raise upstream.ExchangeError(
                     f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -6,6 +6,7 @@
 import http
 from typing import Any
 from typing import Final
+from typing import Protocol
 
 import anyio
 from anyio import abc
@@ -14,9 +15,20 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate.http1 import pacing
 from eelgrassgate.http1 import sockets
 
 READ_SIZE_BYTES: Final = 65_536
+# Size of reads of requests: what uvloop receives at once isn't split, which
+# would copy it.
+REQUEST_READ_BYTES: Final = 262_144
+# Memory for a body of unknown length is reserved in steps of this size.
+RESERVE_STEP_BYTES: Final = 262_144
+# Bounds on what is read of a request after its refusal. Closing before the
+# client has sent all would reset the connection, and the client might not see
+# the response.
+MAX_DISCARDED_BYTES: Final = 8_388_608
+DISCARD_TIMEOUT_S: Final = 5.0
 # Maximum number of bytes read ahead while a request is handled.
 MAX_READ_AHEAD_BYTES: Final = 65_536
 # Listen backlog; callers reconnect in bursts after a restart.
@@ -49,22 +61,51 @@
     idle_timeout_s: float = 15.0
 
 
-class IncomingRequest(msgspec.Struct, frozen=True):
-    """A complete request.
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """A response to a request that is not read to its end."""
+
+    status: int
+    headers: Headers = ()
+    reason: str = ""
+
+
+class RequestAccount(Protocol):
+    """The memory of one request."""
+
+    async def reserve(self, size: int) -> Refusal | None:
+        """Reserve memory for `size` more bytes of the body.
+
+        Waits a short time while memory is short.
+
+        Returns:
+            The refusal to send if there is no memory; else None.
+        """
+        ...
+
+    def release_body(self) -> None:
+        """Give back the memory of the body."""
+        ...
+
+    def close(self) -> None:
+        """Give back all memory of the request."""
+        ...
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """The head of a request.
 
     Attributes:
         method: The HTTP method.
         target: The request target: path and query.
         headers: The headers, with names in lower case.
-        body: The request body.
-        received_at: Monotonic time at which the end of the body was received.
     """
 
     method: bytes
     target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    received_at: float
+    headers: Headers
 
     def get(self, name: bytes) -> bytes | None:
         """Return the value of a header; None if it is absent."""
@@ -74,6 +115,89 @@
         return None
 
 
+class Admission(Protocol):
+    """Decides whether the bodies of requests are read."""
+
+    def open(self, head: RequestHead) -> RequestAccount:
+        """Open the account of a request whose head was read."""
+        ...
+
+
+class _NoAccount:
+    """The account of a request that is always admitted."""
+
+    async def reserve(self, size: int) -> Refusal | None:
+        """Reserve nothing."""
+        return None
+
+    def release_body(self) -> None:
+        """Give back nothing."""
+
+    def close(self) -> None:
+        """Give back nothing."""
+
+
+class _AdmitAll:
+    """Admits all requests."""
+
+    def open(self, head: RequestHead) -> RequestAccount:
+        """Return an account without memory."""
+        return _NO_ACCOUNT
+
+
+_TOO_LARGE: Final = Refusal(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+_NO_ACCOUNT: Final = _NoAccount()
+ADMIT_ALL: Final = _AdmitAll()
+
+
+class Body:
+    """The body of a request, kept until it isn't needed any more.
+
+    Attributes:
+        data: The bytes; empty after the release.
+    """
+
+    __slots__ = ("_account", "data")
+
+    def __init__(
+        self, data: bytes, account: RequestAccount = _NO_ACCOUNT
+    ) -> None:
+        """Keep `data`, whose memory was reserved in `account`."""
+        self.data = data
+        self._account = account
+
+    def release(self) -> None:
+        """Drop the bytes and give their memory back."""
+        self.data = b""
+        self._account.release_body()
+
+
+class IncomingRequest(RequestHead, frozen=True):
+    """A complete request.
+
+    Attributes:
+        content: Holds the request body.
+        received_at: Monotonic time at which the end of the body was received.
+    """
+
+    content: Body
+    received_at: float
+
+    @property
+    def body(self) -> bytes:
+        """The request body; empty once it was released."""
+        return self.content.data
+
+
+class _RefusedError(Exception):
+    """A request that is refused before it was read to its end."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Initialize with the response to send."""
+        super().__init__(refusal.status)
+        self.refusal = refusal
+
+
 class ClientDisconnectedError(Exception):
     """The client closed the connection or stopped reading."""
 
@@ -224,8 +348,13 @@
         read_limits: Callable[[], Limits],
         handle: Handler,
         is_closing: Callable[[], bool],
+        admission: Admission,
+        pacer: pacing.Pacer,
     ) -> None:
         """Wrap an accepted stream; see `Listener.serve`."""
+        self._admission = admission
+        self._account: RequestAccount = _NO_ACCOUNT
+        self._pacer = pacer
         self._stream = stream
         self._read_limits = read_limits
         self._handle = handle
@@ -234,6 +363,8 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        # Whether a large body is being read.
+        self._is_large = False
         self._read_ahead = bytearray()
         self._has_received_eof = False
         self._is_closed = False
@@ -242,12 +373,8 @@
     async def run(self) -> None:
         """Serve requests until the client or a drain closes the connection."""
         try:
-            while True:
-                incoming = await self._read_request()
-                if incoming is None or not await self._handle_request(incoming):
-                    return
-        except h11.RemoteProtocolError as error:
-            await self._reply_error(error.error_status_hint)
+            while await self._serve_request():
+                pass
         except (ClientDisconnectedError, OSError, anyio.BrokenResourceError):
             return
         except anyio.ClosedResourceError:
@@ -261,6 +388,21 @@
             close = sockets.reset if is_cut else sockets.abort
             await close(self._stream)
 
+    async def _serve_request(self) -> bool:
+        """Read and handle a request; returns whether to keep the connection."""
+        try:
+            incoming = await self._read_request()
+            return incoming is not None and await self._handle_request(incoming)
+        except _RefusedError as error:
+            refusal = error.refusal
+        except h11.RemoteProtocolError as error:
+            refusal = Refusal(error.error_status_hint)
+        finally:
+            self._account.close()
+            self._account = _NO_ACCOUNT
+        await self._refuse(refusal)
+        return False
+
     def _is_cut_without_framing(self) -> bool:
         """Return whether an orderly close would make a response look whole.
 
@@ -269,18 +411,40 @@
         is_cut = self._http.our_state in {h11.SEND_BODY, h11.ERROR}
         return is_cut and self._http.their_http_version == b"1.0"
 
-    async def _reply_error(self, status: int) -> None:
-        """Respond with an error to a request that can't be read."""
-        logs.log_message("request unreadable", status=status)
+    async def _refuse(self, refusal: Refusal) -> None:
+        """Respond to a request that is not read to its end."""
+        logs.log_message(
+            "request unreadable", status=refusal.status, reason=refusal.reason
+        )
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         responder = Responder(self._http, self._stream, self._is_closing)
         responder.is_closing = True
         try:
-            await responder.reply(status)
+            await responder.reply(refusal.status, refusal.headers)
+            await self._discard_rest()
         except (ClientDisconnectedError, h11.LocalProtocolError):
             return
 
+    async def _discard_rest(self) -> None:
+        """Let the client read the last response before the close."""
+        left = MAX_DISCARDED_BYTES
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            await self._stream.send_eof()
+            while left > 0:
+                try:
+                    data = await self._pacer.receive(
+                        self._stream, REQUEST_READ_BYTES
+                    )
+                except (
+                    anyio.EndOfStream,
+                    anyio.BrokenResourceError,
+                    anyio.ClosedResourceError,
+                    OSError,
+                ):
+                    return
+                left -= len(data)
+
     async def _read_request(self) -> IncomingRequest | None:
         """Read a request; returns None if the connection must be closed."""
         limits = self._read_limits()
@@ -299,41 +463,60 @@
                 return None
             return await self._read_body(event, limits)
         if not self.is_idle:
-            await self._reply_error(http.HTTPStatus.REQUEST_TIMEOUT)
+            raise _RefusedError(Refusal(http.HTTPStatus.REQUEST_TIMEOUT))
         return None
 
     async def _read_body(
         self, request: h11.Request, limits: Limits
     ) -> IncomingRequest | None:
+        head = RequestHead(
+            request.method, request.target, tuple(request.headers)
+        )
+        self._account = account = self._admission.open(head)
+        reserved = _read_length(head)
+        if reserved > limits.body_bytes:
+            raise _RefusedError(_TOO_LARGE)
+        await self._reserve(reserved)
         if self._http.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(
                 status_code=100, headers=[]
             )
             await self._stream.send(self._http.send(informational) or b"")
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                size += len(event.data)
+                size = len(body) + len(event.data)
                 if size > limits.body_bytes:
-                    await self._reply_error(
-                        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-                    )
-                    return None
-                parts.append(bytes(event.data))
+                    raise _RefusedError(_TOO_LARGE)
+                while size > reserved:
+                    await self._reserve(RESERVE_STEP_BYTES)
+                    reserved += RESERVE_STEP_BYTES
+                body += event.data
+                self._is_large = size > pacing.UNPACED_BYTES
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif event is not None:
                 return None
+        self._is_large = False
         return IncomingRequest(
-            request.method,
-            request.target,
-            tuple(request.headers),
-            b"".join(parts),
+            head.method,
+            head.target,
+            head.headers,
+            Body(bytes(body), account),
             deadlines.now(),
         )
 
+    async def _reserve(self, size: int) -> None:
+        """Reserve memory for the body.
+
+        Raises:
+            _RefusedError: Memory is short.
+        """
+        refusal = await self._account.reserve(size)
+        if refusal is not None:
+            raise _RefusedError(refusal)
+
     async def _next_event(self) -> object:
         """Return the next event, or None after reading more data."""
         event = self._http.next_event()
@@ -346,7 +529,7 @@
             data = b""
         else:
             try:
-                data = await self._stream.receive(READ_SIZE_BYTES)
+                data = await self._receive()
             except anyio.EndOfStream:
                 data = b""
         if self._is_closed:
@@ -357,6 +540,11 @@
         self._http.receive_data(data)
         return None
 
+    async def _receive(self) -> bytes:
+        if self._is_large:
+            return await self._pacer.receive(self._stream, REQUEST_READ_BYTES)
+        return await self._stream.receive(REQUEST_READ_BYTES)
+
     async def _handle_request(self, incoming: IncomingRequest) -> bool:
         """Handle a request; returns whether to keep the connection."""
         self.is_idle = False
@@ -421,6 +609,14 @@
         await sockets.abort(self._stream)
 
 
+def _read_length(head: RequestHead) -> int:
+    """Return the length of a body; 0 if its head doesn't tell."""
+    if head.get(b"transfer-encoding") is not None:
+        return 0
+    # h11 has checked that it is a number.
+    return int(head.get(b"content-length") or b"0")
+
+
 def _get_reason(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
@@ -436,8 +632,11 @@
         read_limits: Callable[[], Limits],
         handle: Handler,
         is_closing: Callable[[], bool],
+        admission: Admission = ADMIT_ALL,
     ) -> None:
         """Initialize; `is_closing` requests `Connection: close`."""
+        self._admission = admission
+        self._pacer = pacing.create_pacer()
         self._read_limits = read_limits
         self._handle = handle
         self._is_closing = is_closing
@@ -492,6 +691,8 @@
             local_host=host, local_port=int(port), backlog=BACKLOG
         ) as listener:
             self._listeners = listener.listeners
+            for one in self._listeners:
+                sockets.bound_receive_buffer(one)
             task_status.started(listener.extra(abc.SocketAttribute.local_port))
             while True:
                 try:
@@ -522,6 +723,7 @@
             await anyio.sleep_forever()
 
     async def _serve_one(self, stream: abc.SocketStream) -> None:
+        sockets.pause_reading(stream)
         try:
             sockets.set_options(stream)
         except OSError as error:
@@ -529,7 +731,12 @@
             await sockets.abort(stream)
             return
         connection = Connection(
-            stream, self._read_limits, self._handle, self._is_closing
+            stream,
+            self._read_limits,
+            self._handle,
+            self._is_closing,
+            self._admission,
+            self._pacer,
         )
         self._connections.add(connection)
         try:
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -25,6 +25,11 @@
 # `struct linger`: enabled, with a timeout of 0, so that closing resets.
 NO_LINGER: Final = struct.pack("ii", 1, 0)
 
+# Bounds what the kernel keeps of a connection that isn't read, and what is read
+# at once when it is; uvloop reads all that has arrived. The kernel doubles the
+# value; about half of that is the window, enough for 2 MB/s between regions.
+RECEIVE_BUFFER_BYTES: Final = 131_072
+
 TCP_OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -36,26 +41,52 @@
 
 
 def set_options(stream: abc.SocketStream) -> None:
-    """Set `TCP_OPTIONS` on a connection.
+    """Set `TCP_OPTIONS` and bound the receive buffer of a connection.
 
     Raises:
         OSError: The connection was closed meanwhile.
     """
     for level, name, value in TCP_OPTIONS:
         _set_option(stream, level, name, value)
+    bound_receive_buffer(stream)
+
+
+def bound_receive_buffer(opened: anyio.TypedAttributeProvider) -> None:
+    """Bound the receive buffer of a connection.
+
+    Connections inherit that of their listener.
+    """
+    with contextlib.suppress(OSError):
+        # Without it, the connection only takes more memory.
+        _set_option(
+            opened, socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
 
 
 def _set_option(
-    stream: abc.SocketStream, level: int, name: int, value: int | bytes
+    opened: anyio.TypedAttributeProvider,
+    level: int,
+    name: int,
+    value: int | bytes,
 ) -> None:
     try:
-        raw: Any = stream.extra(abc.SocketAttribute.raw_socket)
+        raw: Any = opened.extra(abc.SocketAttribute.raw_socket)
         raw.setsockopt(level, name, value)
     except (AttributeError, ValueError) as error:
         # uvloop has dropped the socket.
         raise ConnectionResetError("connection was closed") from error
 
 
+def pause_reading(stream: abc.SocketStream) -> None:
+    """Stop reading an accepted connection until its next `receive`.
+
+    anyio leaves it reading, without bound, until a `receive` has waited once.
+    """
+    transport: Any = getattr(stream, "_transport", None)
+    if transport is not None:
+        transport.pause_reading()
+
+
 async def connect(address: str, timeout_s: float) -> abc.SocketStream:
     """Connect to `host:port`.
 
--- a/eelgrassgate/http1/upstream.py
+++ b/eelgrassgate/http1/upstream.py
@@ -12,6 +12,7 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import logs
+from eelgrassgate.http1 import pacing
 from eelgrassgate.http1 import sockets
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -115,8 +116,14 @@
             to the current one if their ids differ.
     """
 
-    def __init__(self, stream: abc.SocketStream, address: str) -> None:
+    def __init__(
+        self,
+        stream: abc.SocketStream,
+        address: str,
+        pacer: pacing.Pacer | None = None,
+    ) -> None:
         """Wrap an open stream to `address`."""
+        self._pacer = pacer or pacing.create_pacer()
         self.address = address
         self.idle_until = 0.0
         self.is_reusable = False
@@ -143,12 +150,12 @@
         """
         self.is_reusable = False
         try:
-            data = _write_request(self._http, request)
+            parts = _write_request(self._http, request)
         except h11.LocalProtocolError as error:
             raise InvalidRequestError(str(error)) from error
         failure: ExchangeError | StalledError | None = None
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send, data)
+            tasks.start_soon(self._send, parts)
             try:
                 await self._read_head(request, is_expected)
             except _CONNECTION_ERRORS as error:
@@ -161,14 +168,26 @@
         if failure is not None:
             raise failure
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, parts: list[bytes]) -> None:
         try:
-            await self._stream.send(data)
+            if sum(map(len, parts)) <= pacing.UNPACED_BYTES:
+                await self._stream.send(b"".join(parts))
+            else:
+                await self._send_pieces(parts)
         except _CONNECTION_ERRORS:
             # Reading the response reports the failure if there is none.
             return
         self.is_reusable = True
 
+    async def _send_pieces(self, parts: list[bytes]) -> None:
+        """Send much data without a copy of it all."""
+        for part in parts:
+            view = memoryview(part)
+            for start in range(0, len(part), pacing.PIECE_BYTES):
+                await self._pacer.wait_turn()
+                piece = view[start : start + pacing.PIECE_BYTES]
+                await self._stream.send(bytes(piece))
+
     async def _read_head(
         self, request: Request, is_expected: ResponseFilter
     ) -> None:
@@ -317,8 +336,8 @@
         await sockets.abort(self._stream)
 
 
-def _write_request(connection: h11.Connection, request: Request) -> bytes:
-    """Return the bytes of a request.
+def _write_request(connection: h11.Connection, request: Request) -> list[bytes]:
+    """Return the bytes of a request in parts; its body is not copied.
 
     Raises:
         h11.LocalProtocolError: HTTP can't express the request.
@@ -328,10 +347,12 @@
         target=request.target,
         headers=list(request.headers),
     )
-    data = connection.send(head) or b""
+    parts = [connection.send(head) or b""]
     if request.body:
-        data += connection.send(h11.Data(data=request.body)) or b""
-    return data + (connection.send(h11.EndOfMessage()) or b"")
+        data = h11.Data(data=request.body)
+        parts += connection.send_with_data_passthrough(data) or ()
+    parts.append(connection.send(h11.EndOfMessage()) or b"")
+    return parts
 
 
 def _convert_error(error: Exception) -> ExchangeError:
@@ -354,11 +375,13 @@
 
     Attributes:
         opened: Number of connections opened so far.
+        pacer: Grants turns to large bodies, of requests and of responses.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
         """Initialize an empty pool; see `create_pool`."""
         self._connect_timeout_s = connect_timeout_s
+        self.pacer = pacing.create_pacer()
         self._idle_by_address: dict[str, list[Connection]] = {}
         self.opened = 0
 
@@ -414,7 +437,7 @@
         except OSError as error:
             raise ExchangeError(str(error), False) from error
         self.opened += 1
-        return Connection(stream, address)
+        return Connection(stream, address, self.pacer)
 
     def _release(self, connection: Connection) -> None:
         idle = self._idle_by_address.setdefault(connection.address, [])
--- a/eelgrassgate/platform/dialect.py
+++ b/eelgrassgate/platform/dialect.py
@@ -86,13 +86,17 @@
             incoming.target,
             host.rpartition(":")[0] if ":" in host else host,
             target.partition("?")[0],
-            _parse_api_key(incoming.get(AUTHORIZATION)),
+            self.read_key(incoming),
             _filter_headers(incoming.headers, _SET_BY_GATEWAY),
-            incoming.body,
+            incoming.content,
             incoming.received_at + remaining / MS_PER_S,
             self.read_prompt_parts(incoming.headers),
         )
 
+    def read_key(self, head: downstream.RequestHead) -> str | None:
+        """Parse a caller's API key; None if the request has none."""
+        return _parse_api_key(head.get(AUTHORIZATION))
+
     def read_prompt_parts(self, headers: upstream.Headers) -> tuple[str, ...]:
         """Parse the ids of the shared parts: all but the last."""
         for name, value in headers:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -24,6 +24,7 @@
 from eelgrassgate.gateway import draining
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
@@ -57,7 +58,7 @@
         "/batch/x",
         None,
         (),
-        b"",
+        downstream.Body(b""),
         deadlines.after(remaining_s),
     )
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -344,7 +344,9 @@
     def test_event_id_of_any_bytes_is_sent_back(self) -> None:
         speech = dialect.PlatformDialect()
         call = speech.read_call(
-            downstream.IncomingRequest(b"GET", b"/", (), b"", 0.0)
+            downstream.IncomingRequest(
+                b"GET", b"/", (), downstream.Body(b""), 0.0
+            )
         )
         for last_id in (b"7", "\u2603".encode(), b"\xff7"):
             with self.subTest(last_id):
@@ -378,7 +380,11 @@
         ):
             call = dialect.PlatformDialect().read_call(
                 downstream.IncomingRequest(
-                    b"GET", f"/lots/j?after={text}".encode(), (), b"", 0.0
+                    b"GET",
+                    f"/lots/j?after={text}".encode(),
+                    (),
+                    downstream.Body(b""),
+                    0.0,
                 )
             )
             found = platform_batch_calls.PlatformBatchDialect().read_job_call(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -209,7 +209,11 @@
     def read(self, *headers: tuple[bytes, bytes]) -> calls.Call:
         return dialect.PlatformDialect().read_call(
             downstream.IncomingRequest(
-                b"POST", b"/a/x?b=1", headers, b"q", deadlines.now()
+                b"POST",
+                b"/a/x?b=1",
+                headers,
+                downstream.Body(b"q"),
+                deadlines.now(),
             )
         )
 
@@ -287,7 +291,9 @@
             (b"GET", b"/a/x", None),
         ):
             call = dialect.PlatformDialect().read_call(
-                downstream.IncomingRequest(method, target, (), b"", 0.0)
+                downstream.IncomingRequest(
+                    method, target, (), downstream.Body(b""), 0.0
+                )
             )
             found = platform_batch_calls.PlatformBatchDialect().read_job_call(
                 call
