--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -1,6 +1,5 @@
 """Memory that jobs take while they are accepted, run and read."""
 
-import asyncio
 from collections import Counter
 import contextlib
 import pathlib
@@ -476,10 +475,6 @@
         item = calls.BatchItem("i", "/batch/a", {}, bytes(2_800_000))
         async with contextlib.AsyncExitStack() as stack:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-            server = await asyncio.start_server(
-                memory_load._serve_endpoint, ports.HOST, 0
-            )
-            await stack.enter_async_context(server)
             running = await stack.enter_async_context(
                 processes.run_processes(pathlib.Path(folder))
             )
@@ -489,9 +484,14 @@
             )
             await processes.wait_until_open(store_port)
             address = f"{ports.HOST}:{store_port}"
-            endpoint_port = server.sockets[0].getsockname()[1]
-            await memory_load._write_documents(
-                f"http://{address}", f"{ports.HOST}:{endpoint_port}"
+            endpoint_port = ports.pick_port()
+            running.start(
+                "endpoint", "bench.memory_endpoint", [str(endpoint_port)]
+            )
+            await processes.wait_until_open(endpoint_port)
+            await memory_load.write_documents(
+                f"http://{address}",
+                {"engine": f"{ports.HOST}:{endpoint_port}"},
             )
             store = kv.create_kv_store(address)
             for number in range(STORED_JOBS):
