Wait for the task of the last connection before accepting stops

Cause: before a shutdown, the gateway waits until no connection is queued at its listener, and cancels accepting then. The connection that was taken last has left the queue, but its transport and task are only created in the next passes of the event loop; cancelled there, it is closed with its request unread.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -11,6 +11,7 @@
 
 import anyio
 from anyio import abc
+import anyio.lowlevel
 import h11
 import msgspec
 
@@ -39,6 +40,9 @@
 # How long, and how often, to check for connections that are not accepted yet.
 ACCEPT_PENDING_TIMEOUT_S: Final = 0.25
 ACCEPT_POLL_INTERVAL_S: Final = 0.005
+# Passes of the event loop within which a connection that has left the queue is
+# passed to its task, with room to spare.
+ACCEPT_PASSES: Final = 20
 # How often a drain checks for idle connections.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # A connection is closed if the client does not read for this long.
@@ -798,6 +802,9 @@
         with anyio.move_on_after(ACCEPT_PENDING_TIMEOUT_S):
             while any(map(sockets.is_readable, self._listeners)):
                 await anyio.sleep(ACCEPT_POLL_INTERVAL_S)
+            # The last one has left the queue but may not have its task yet.
+            for _ in range(ACCEPT_PASSES):
+                await anyio.lowlevel.checkpoint()
 
     async def run(
         self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -206,12 +206,19 @@
     async def test_connections_that_wait_to_be_accepted_are_not_reset(
         self,
     ) -> None:
-        # They were reset when the process stopped listening.
+        # They were reset when the process stopped listening; also the last one,
+        # which was accepted but had no task yet.
+        for count in (40, *range(1, 31)):
+            with self.subTest(count):
+                await self.stop_accepting_beside(count)
+
+    async def stop_accepting_beside(self, count: int) -> None:
         accepting = anyio.CancelScope()
         async with open_listener(Echo(), accepting) as (listener, port):
             # The event loop does not run while these connect.
             callers = [
-                socket.create_connection(("127.0.0.1", port)) for _ in range(40)
+                socket.create_connection(("127.0.0.1", port))
+                for _ in range(count)
             ]
             for one in callers:
                 one.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
