Allocate what a test's fast peer sends before tracing memory

The test failed once beside other runs with '1139731 not less than 262144': the peer's own buffer of 1,000,000 bytes was counted when its thread began after the tracing did. With a delay before that allocation it failed in 2 of 2 runs; with the buffer allocated before, it passes with the same delay. The bound stays. On the code before the fix that it guards it still fails ('8454490 not less than 262144').

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -18,6 +18,8 @@
 
 TIMEOUT_S: Final = 5.0
 FLOOD_S: Final = 0.5
+# Allocated before memory is traced.
+FLOOD: Final = bytes(1_000_000)
 # A piece that was received, one being received, and one being returned.
 MAX_HELD_BYTES: Final = 4 * streams.PIECE_BYTES
 
@@ -54,9 +56,8 @@
 
 
 def flood(peer: socket.socket) -> None:
-    data = bytes(1_000_000)
     while True:
-        peer.sendall(data)
+        peer.sendall(FLOOD)
 
 
 def reset(peer: socket.socket) -> None:
