--- a/bench/memory_load.py
+++ b/bench/memory_load.py
@@ -272,10 +272,7 @@
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
     """Answer requests by their path; keeps nothing of their bodies."""
-    with (
-        contextlib.closing(writer),
-        contextlib.suppress(OSError, asyncio.IncompleteReadError),
-    ):
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
         while True:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             fields = dict(
@@ -307,6 +304,7 @@
             length = b"Content-Length: %d\r\n" % len(event)
             kind = b"Content-Type: text/event-stream\r\n\r\n"
             writer.write(start + length + kind + event)
+    writer.close()
 
 
 def _write_settings(
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -35,6 +35,7 @@
 from tests import test_batches
 from tests import test_forwarding
 from tests import test_peering
+from tests import test_platform
 
 TIMEOUT_S: Final = 10.0
 MB: Final = memory_budget.BYTES_PER_MB
@@ -53,6 +54,33 @@
 ITEM_BYTES: Final = 690_000
 # Jobs of one item of 2.8 MB that wait for a process that starts.
 STORED_JOBS: Final = 80
+CONFIG: Final = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "batch",
+            "host": memory_load.HOST,
+            "prefix": "/batch/",
+            "kind": "batch",
+            "service": "engine",
+            "max-attempts": 2,
+            "completion-target-ms": 18_000,
+            "retention-s": 60,
+        }
+    ],
+    "services": [{"name": "engine", "max-connections": 400, "engine": {}}],
+    "tenants": [{"name": "desk", "api-keys": ["key"]}],
+}
+ENDPOINT: Final = {
+    "service": "engine",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 400,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "sequence": 1,
+    "born": 1_800_000_000_000,
+}
 # As many jobs of the largest size as half the memory holds the bodies of.
 JOBS: Final = 24
 
@@ -64,6 +92,35 @@
     return int(fields["VmHWM"].split()[0]) * 1024 // MB
 
 
+async def serve_items(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer items with one event; keeps nothing of their bodies."""
+    with (
+        contextlib.closing(writer),
+        contextlib.suppress(OSError, asyncio.IncompleteReadError),
+    ):
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            fields = dict(
+                line.lower().split(": ", 1)
+                for line in head.split("\r\n")[1:]
+                if ": " in line
+            )
+            await reader.readexactly(int(fields.get("content-length", "0")))
+            await asyncio.sleep(1.0)
+            event = "id: 1\ndata: x\n\n"
+            writer.write(
+                (
+                    "HTTP/1.1 200 OK\r\n"
+                    f"Request-Id: {fields['request-id']}\r\n"
+                    "Response-Signature: 1.1\r\n"
+                    "Content-Type: text/event-stream\r\n"
+                    f"Content-Length: {len(event)}\r\n\r\n{event}"
+                ).encode()
+            )
+
+
 class AdmissionTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.budget = memory_budget.Budget(LIMIT)
@@ -476,9 +533,7 @@
         item = calls.BatchItem("i", "/batch/a", {}, bytes(2_800_000))
         async with contextlib.AsyncExitStack() as stack:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-            server = await asyncio.start_server(
-                memory_load._serve_endpoint, ports.HOST, 0
-            )
+            server = await asyncio.start_server(serve_items, ports.HOST, 0)
             await stack.enter_async_context(server)
             running = await stack.enter_async_context(
                 processes.run_processes(pathlib.Path(folder))
@@ -490,10 +545,10 @@
             await processes.wait_until_open(store_port)
             address = f"{ports.HOST}:{store_port}"
             endpoint_port = server.sockets[0].getsockname()[1]
-            await memory_load._write_documents(
-                f"http://{address}", f"{ports.HOST}:{endpoint_port}"
-            )
             store = kv.create_kv_store(address)
+            endpoint = {**ENDPOINT, "address": f"{ports.HOST}:{endpoint_port}"}
+            await test_platform.put(store, "op/config", CONFIG)
+            await test_platform.put(store, "servers/i-0", endpoint)
             for number in range(STORED_JOBS):
                 accepted = await submission.submit(
                     store,
