--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -48,6 +48,7 @@
             node.quarantine,
             node.metrics,
             self._shutdown,
+            node.budget,
         )
         reader = results.create_reader(
             adapters.store,
