Hand over accepted connections before listening ends

What callers saw: in a planned stop, a connection that had just been accepted was reset without an answer, now and then.

Cause: `accept_pending` returned as soon as no connection waited in the queue. The last one may have left the queue while `serve` had not received it yet; cancelling `serve` then dropped it. The class: work that has left one hand and not reached the next when the process stops.

`accept_pending` waits one more interval after it has found the queue empty.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -541,7 +541,11 @@
         They would be reset when it stops listening.
         """
         with anyio.move_on_after(ACCEPT_PENDING_TIMEOUT_S):
-            while any(map(sockets.is_readable, self._listeners)):
+            is_empty = False
+            while not is_empty:
+                is_empty = not any(map(sockets.is_readable, self._listeners))
+                # A connection that was just accepted is lost if `serve` is
+                # cancelled before it has received it.
                 await anyio.sleep(ACCEPT_POLL_INTERVAL_S)
 
     async def run(
