Charge pages of results that a batch process sends to gateways

Cause: something that others choose grows in a process without a bound of that process.

Now a page is charged until it is sent. Without memory within 0.2 s the gateway is told to read the store. A job that is cached a second time no longer keeps the charge of the first.

The test failed before, with the charge left out: "AssertionError: 200 != 404".

--- a/eelgrassgate/batches/daemon.py
+++ b/eelgrassgate/batches/daemon.py
@@ -67,7 +67,9 @@
         self._other_retirements: set[str] = set()
         node.discovery.subscribe_to_retirements(self._record_retirement)
         node.reports.subscribe(self._owner)
-        node.relay.job_handler = owner_api.create_owner_api(self._owner).handle
+        node.relay.job_handler = owner_api.create_owner_api(
+            self._owner, node.budget
+        ).handle
 
     def _record_retirement(self, retirement: discovery.Retirement) -> None:
         if retirement.instance == self._node.member.name:
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -302,6 +302,9 @@
         if not owned.has_committed:
             owned.release_memory()
             return
+        previous = self._cached_by_id.pop(name, None)
+        if previous is not None:
+            previous.release_memory()
         self._cached_by_id[name] = owned
         size = sum(
             records.count_memory(cached.committed)
--- a/eelgrassgate/batches/owner_api.py
+++ b/eelgrassgate/batches/owner_api.py
@@ -15,6 +15,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
+from eelgrassgate import memory_budget
 from eelgrassgate.batches import owner as owner_lib
 from eelgrassgate.batches import records
 from eelgrassgate.http1 import downstream
@@ -32,6 +33,13 @@
 # Bound on the results in one response; callers take 1 MB with what surrounds
 # them.
 MAX_RESPONSE_BYTES: Final = 900_000
+# Holder of the pages in the memory budget.
+HOLDER: Final = "pages"
+# Copies of a page that are held until it is sent.
+PAGE_COPIES: Final = 2
+# How long a page waits for memory; gateways wait 0.4 s before they read the
+# store instead.
+MEMORY_WAIT_S: Final = 0.2
 _COUNT: Final = re.compile(r"[0-9]{1,15}")
 
 
@@ -70,8 +78,11 @@
 class OwnerApi:
     """Serves reads of jobs and results, and receives announced jobs."""
 
-    def __init__(self, owner: owner_lib.Owner) -> None:
+    def __init__(
+        self, owner: owner_lib.Owner, budget: memory_budget.Budget
+    ) -> None:
         """Create the API; see `create_owner_api`."""
+        self._budget = budget
         self._owner = owner
 
     async def handle(
@@ -101,8 +112,13 @@
         listing = await self._read_results(job, after, wait_ms / MS_PER_S)
         if listing is None:
             await responder.reply(NOT_FOUND)
-        else:
-            await responder.reply(OK, (), msgspec.msgpack.encode(listing))
+            return
+        with self._budget.open(memory_budget.Kind.RESULT, HOLDER) as account:
+            size = PAGE_COPIES * records.count_memory(listing.results)
+            if await account.grow(size, deadlines.after(MEMORY_WAIT_S)):
+                await responder.reply(OK, (), msgspec.msgpack.encode(listing))
+            else:
+                await responder.reply(NOT_FOUND)
 
     async def _add_job(
         self, body: bytes, responder: downstream.Responder
@@ -142,6 +158,13 @@
     return int(text) if _COUNT.fullmatch(text) else None
 
 
-def create_owner_api(owner: owner_lib.Owner) -> OwnerApi:
-    """Create the API of an owner."""
-    return OwnerApi(owner)
+def create_owner_api(
+    owner: owner_lib.Owner, budget: memory_budget.Budget
+) -> OwnerApi:
+    """Create the API of an owner.
+
+    Args:
+        owner: The owner.
+        budget: The memory budget of the process.
+    """
+    return OwnerApi(owner, budget)
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -21,10 +21,12 @@
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import items as items_lib
+from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
+from eelgrassgate.http1 import downstream
 from eelgrassgate.peering import registry
 from eelgrassgate.platform import kv
 from eelgrassgate.store import base
@@ -477,6 +479,36 @@
         self.assertEqual(budget.held_bytes, 0)
 
 
+class OwnerApiTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_page_without_memory_is_left_to_the_store(self) -> None:
+        for name, is_full, size, status in (
+            ("large, memory suffices", False, 600_000, 200),
+            ("large, memory is short", True, 600_000, 404),
+            ("small, memory is short", True, 1_000, 200),
+        ):
+            with self.subTest(name):
+                budget = memory_budget.Budget(LIMIT)
+                for holder in "ab" if is_full else "":
+                    account = budget.open(JOB, holder)
+                    while account.try_grow(SMALL):
+                        pass
+                before = budget.held_bytes
+                owner: Any = mock.Mock()
+                owner.find_job.return_value.committed = [
+                    records.Result("i", records.COMPLETED, "x" * size)
+                ]
+                owner.find_job.return_value.job.total = 1
+                responder: Any = mock.AsyncMock()
+                await owner_api.create_owner_api(owner, budget).handle(
+                    downstream.IncomingRequest(
+                        b"GET", b"/jobs/j?after=0", (), b"", 0.0
+                    ),
+                    responder,
+                )
+                self.assertEqual(responder.reply.await_args.args[0], status)
+                self.assertEqual(budget.held_bytes, before)
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_relayed_call_without_memory_is_not_sent(self) -> None:
         budget = memory_budget.Budget(LIMIT)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -493,7 +493,7 @@
             await test_batches.submit(harness.store, 1)
             await harness.read_all()
             server.job_handler = owner_api.create_owner_api(
-                harness.owner
+                harness.owner, site_lib.make_budget()
             ).handle
             tasks.start_soon(server.run, address)
             await anyio.wait_all_tasks_blocked()
