Accept connections in bursts, and keep descriptors for endpoints

What callers saw: small requests waited up to 1.6 s, before bodies took turns up to 4.7 s, while large ones were handled. A flood of connections could take all descriptors, so that endpoints and the store could not be reached.

Cause: anyio accepts one connection at a time, each after several iterations of the event loop, which are long while large bodies are handled: a trace shows one connection accepted in 100 ms. Nothing counted connections.

Now up to 64 connections are accepted in one iteration. Callers' connections take at most four fifths of what the settings' descriptors leave after 400; beyond that, or when accepting fails, the oldest idle connections are closed, and others wait to be accepted.

tests.test_unanswered_requests injected its errors into the event loop's accept, which isn't called any more; it injects the same errors where connections are accepted now.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -24,6 +24,18 @@
 SHARE_UPDATE_INTERVAL_S: Final = 0.05
 OK: Final = 200
 UNAVAILABLE: Final = 503
+# Descriptors for files, the store, peers, metrics and probes; the platform sets
+# 200 aside for files.
+RESERVED_DESCRIPTORS: Final = 400
+# Share of the others for connections to endpoints; most connections of callers
+# are idle or have sent no whole request.
+ENDPOINTS_SHARE: Final = 0.2
+
+
+def compute_max_connections(file_descriptors: int) -> int:
+    """Return how many connections of callers may be open."""
+    left = file_descriptors - RESERVED_DESCRIPTORS
+    return max(1, int(left * (1.0 - ENDPOINTS_SHARE)))
 
 
 class Gateway:
@@ -77,6 +89,7 @@
                 self._find_workspace,
                 adapters.dialect.write_refusal_headers,
             ),
+            compute_max_connections(node.settings.file_descriptors),
         )
         self._readiness_listener = downstream.Listener(
             downstream.Limits,
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import http
+import socket
 from typing import Any
 from typing import Final
 from typing import Protocol
@@ -34,6 +35,12 @@
 # Listen backlog; callers reconnect in bursts after a restart.
 BACKLOG: Final = 1024
 ACCEPT_RETRY_DELAY_S: Final = 0.05
+# Bound on open connections where the settings name none.
+MAX_CONNECTIONS: Final = 2_000
+# Number of connections that are accepted in one iteration of the event loop.
+MAX_ACCEPTED_AT_ONCE: Final = 64
+# Number of idle connections that are closed to make room for others.
+MAX_CLOSED_AT_ONCE: Final = 16
 # How long, and how often, to check for connections that are not accepted yet.
 ACCEPT_PENDING_TIMEOUT_S: Final = 0.25
 ACCEPT_POLL_INTERVAL_S: Final = 0.005
@@ -635,14 +642,23 @@
         handle: Handler,
         is_closing: Callable[[], bool],
         admission: Admission = ADMIT_ALL,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
-        """Initialize; `is_closing` requests `Connection: close`."""
+        """Initialize; `is_closing` requests `Connection: close`.
+
+        No connections beyond `max_connections` are accepted; idle ones are
+        closed for those that wait.
+        """
+        self._max_connections = max_connections
         self._admission = admission
         self._pacer = pacing.create_pacer()
         self._read_limits = read_limits
         self._handle = handle
         self._is_closing = is_closing
-        self._connections: set[Connection] = set()
+        # In the order in which they were accepted.
+        self._connections: dict[Connection, None] = {}
+        # Number of accepted connections that aren't among them yet.
+        self._opening = 0
         self._listeners: Sequence[abc.Listener[Any]] = ()
 
     def count_active(self) -> int:
@@ -670,7 +686,7 @@
         """
         # Gives a connection that was just accepted time to start reading.
         await anyio.sleep(DRAIN_POLL_INTERVAL_S)
-        while self._connections and not deadlines.is_past(deadline):
+        while self._count_open() and not deadlines.is_past(deadline):
             for connection in list(self._connections):
                 if connection.is_idle:
                     await connection.close()
@@ -696,15 +712,55 @@
             for one in self._listeners:
                 sockets.bound_receive_buffer(one)
             task_status.started(listener.extra(abc.SocketAttribute.local_port))
-            while True:
+            async with anyio.create_task_group() as tasks:
+                for one in self._listeners:
+                    tasks.start_soon(
+                        self._accept, one.extra(abc.SocketAttribute.raw_socket)
+                    )
+
+    async def _accept(self, listening: Any) -> None:
+        """Accept connections, many in one iteration of the event loop.
+
+        They would wait long if large bodies were handled in between.
+        """
+        while True:
+            await anyio.wait_readable(listening)
+            for _ in range(MAX_ACCEPTED_AT_ONCE):
+                if self._count_open() >= self._max_connections:
+                    await self._close_idle()
+                    break
                 try:
-                    await listener.serve(self._serve_one, self.tasks)
-                except* OSError as errors:
+                    accepted = sockets.accept(listening)
+                except BlockingIOError:
+                    break
+                except OSError as error:
                     # Out of descriptors, or the client reset before `accept`.
-                    logs.log_message(
-                        "accept failed", reason=str(errors.exceptions)
-                    )
-                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                    logs.log_message("accept failed", reason=str(error))
+                    await self._close_idle()
+                    break
+                self._opening += 1
+                self.tasks.start_soon(self._open, accepted)
+
+    def _count_open(self) -> int:
+        return len(self._connections) + self._opening
+
+    async def _close_idle(self) -> None:
+        """Close connections that have been idle, to make room for others."""
+        idle = [one for one in self._connections if one.is_idle]
+        for connection in idle[:MAX_CLOSED_AT_ONCE]:
+            await connection.close()
+        await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+
+    async def _open(self, accepted: socket.socket) -> None:
+        """Serve an accepted connection."""
+        try:
+            stream = await sockets.wrap(accepted)
+        except OSError as error:
+            logs.log_message("accept failed", reason=str(error))
+            return
+        finally:
+            self._opening -= 1
+        await self._serve_one(stream)
 
     async def accept_pending(self) -> None:
         """Wait until `serve` has accepted the connections that are queued.
@@ -740,8 +796,8 @@
             self._admission,
             self._pacer,
         )
-        self._connections.add(connection)
+        self._connections[connection] = None
         try:
             await connection.run()
         finally:
-            self._connections.discard(connection)
+            del self._connections[connection]
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -87,6 +87,31 @@
         transport.pause_reading()
 
 
+def accept(listening: Any) -> socket.socket:
+    """Accept a connection that waits.
+
+    Raises:
+        BlockingIOError: None waits.
+        OSError: The process is out of descriptors, or the client has left.
+    """
+    accepted: socket.socket = listening.accept()[0]
+    accepted.setblocking(False)
+    return accepted
+
+
+async def wrap(accepted: socket.socket) -> abc.SocketStream:
+    """Return the stream of an accepted connection.
+
+    Raises:
+        OSError: The client has left.
+    """
+    try:
+        return await abc.SocketStream.from_socket(accepted)
+    except (OSError, ValueError) as error:
+        accepted.close()
+        raise ConnectionResetError("connection was closed") from error
+
+
 async def connect(address: str, timeout_s: float) -> abc.SocketStream:
     """Connect to `host:port`.
 
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -135,6 +135,46 @@
         tasks.cancel_scope.cancel()
 
 
+class DescriptorsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_idle_connections_make_room_and_busy_ones_stay(self) -> None:
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        listener = downstream.Listener(
+            lambda: LIMITS,
+            Echo(0.3).handle,
+            lambda: False,
+            max_connections=3,
+        )
+        async with (
+            anyio.create_task_group() as tasks,
+            contextlib.AsyncExitStack() as streams,
+        ):
+            await tasks.start(listener.run)
+            port = await tasks.start(listener.serve, "127.0.0.1:0")
+
+            async def connect() -> anyio.abc.SocketStream:
+                return await streams.enter_async_context(
+                    await anyio.connect_tcp("127.0.0.1", port)
+                )
+
+            with anyio.fail_after(site_lib.TEST_TIMEOUT_S):
+                idle = [await connect() for _ in range(2)]
+                while listener.count_connections() < 2:
+                    await anyio.sleep(0.01)
+                busy = await connect()
+                await busy.send(request)
+                later = [await connect() for _ in range(3)]
+                for one in later:
+                    await one.send(request)
+                for one in (busy, *later):
+                    self.assertIn(b"200 OK", await one.receive())
+                    self.assertLessEqual(listener.count_connections(), 3)
+                    await one.aclose()
+                for one in idle:
+                    with self.assertRaises(anyio.EndOfStream):
+                        await one.receive()
+            tasks.cancel_scope.cancel()
+
+
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     async def test_request_accepted_just_before_a_drain_is_handled(
         self,
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,6 +1,5 @@
 """Whole requests on kept connections get an answer or a refusal."""
 
-import asyncio
 import errno
 import socket
 from typing import Any
@@ -100,17 +99,16 @@
 
 class AcceptTest(unittest.IsolatedAsyncioTestCase):
     async def test_failure_to_accept_does_not_stop_the_process(self) -> None:
-        loop = asyncio.get_running_loop()
         errors = [OSError(errno.EMFILE, ""), OSError(errno.ECONNABORTED, "")]
 
-        async def accept(raw: Any) -> Any:
+        def accept(listening: Any) -> Any:
             if errors:
                 raise errors.pop()
-            return await sock_accept(raw)
+            return accept_one(listening)
 
-        sock_accept = loop.sock_accept
+        accept_one = sockets.accept
         async with site_lib.open_site() as site:
-            with mock.patch.object(loop, "sock_accept", accept):
+            with mock.patch.object(sockets, "accept", accept):
                 for _ in range(3):
                     response = await site_lib.call(site.address, "/plain/a")
                     self.assertEqual(response.status, 200)
