--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -501,7 +501,11 @@
                 responder: Any = mock.AsyncMock()
                 await owner_api.create_owner_api(owner, budget).handle(
                     downstream.IncomingRequest(
-                        b"GET", b"/jobs/j?after=0", (), b"", 0.0
+                        b"GET",
+                        b"/jobs/j?after=0",
+                        (),
+                        downstream.Body(b""),
+                        0.0,
                     ),
                     responder,
                 )
