--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -26,7 +26,6 @@
 from eelgrassgate.batches import results
 from eelgrassgate.batches import submission
 from eelgrassgate.gateway import calls
-from eelgrassgate.http1 import downstream
 from eelgrassgate.peering import registry
 from eelgrassgate.platform import kv
 from eelgrassgate.store import base
@@ -498,12 +497,12 @@
                     records.Result("i", records.COMPLETED, "x" * size)
                 ]
                 owner.find_job.return_value.job.total = 1
+                incoming: Any = mock.Mock(
+                    method=b"GET", target=b"/jobs/j?after=0"
+                )
                 responder: Any = mock.AsyncMock()
                 await owner_api.create_owner_api(owner, budget).handle(
-                    downstream.IncomingRequest(
-                        b"GET", b"/jobs/j?after=0", (), b"", 0.0
-                    ),
-                    responder,
+                    incoming, responder
                 )
                 self.assertEqual(responder.reply.await_args.args[0], status)
                 self.assertEqual(budget.held_bytes, before)
