Don't let a charge that waits for its holder's share hold up others

Cause: a new large charge was queued behind any waiting one, and only memory that was given back granted it; caches took no memory while anything waited.

A charge that is queued is granted at once unless one before it waits for room of the whole process. The test failed before: the other holder's charge was refused.

--- a/eelgrassgate/memory_budget.py
+++ b/eelgrassgate/memory_budget.py
@@ -167,7 +167,7 @@
 
     def try_keep(self, account: Account, size: int) -> bool:
         """Charge an account for a cache; see `Account.try_keep`."""
-        if self._waiters or not self._can_charge(account, size):
+        if self._is_awaited() or not self._can_charge(account, size):
             return False
         self._apply(account, size)
         return True
@@ -190,7 +190,10 @@
             return False
         waiter = _Waiter(account, size)
         self._waiters.append(waiter)
-        self._report_shortage(account, size)
+        # Those before it may wait for room of their holders only.
+        self._grant_waiting()
+        if not waiter.charged.is_set():
+            self._report_shortage(account, size)
         try:
             with anyio.move_on_after(deadlines.compute_remaining(deadline)):
                 await waiter.charged.wait()
@@ -212,6 +215,13 @@
             self._is_short = False
             logs.log_message("memory:sufficient", held_bytes=self.held_bytes)
 
+    def _is_awaited(self) -> bool:
+        """Return whether a charge waits for room of the whole process."""
+        return any(
+            not self._has_room(waiter.account, waiter.size)
+            for waiter in self._waiters
+        )
+
     def _make_room(self, account: Account, size: int) -> bool:
         """Return whether a charge fits, after caches have given way."""
         if not self.can_ever_hold(account.held_bytes + size):
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -79,6 +79,18 @@
             tasks.cancel_scope.cancel()
         self.assertEqual(self.budget.count_waiting(), 0)
 
+    async def test_a_holder_without_room_does_not_hold_up_others(self) -> None:
+        self.budget.open(REQUEST, "a").try_grow(5 * MB)
+        waiting = self.budget.open(REQUEST, "a")
+        other = self.budget.open(REQUEST, "b")
+        cache = self.budget.open(REQUEST, "cache")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(waiting.grow, MB, deadlines.after(5.0))
+            await anyio.wait_all_tasks_blocked()
+            self.assertTrue(await other.grow(MB, deadlines.after(0.01)))
+            self.assertTrue(cache.try_keep(MB))
+            tasks.cancel_scope.cancel()
+
     async def test_a_charge_that_can_never_fit_is_refused_at_once(
         self,
     ) -> None:
