Pass a response on that has arrived although memory stays short

Cause: the gateway waited for memory until the deadline before it passed on what it had read. It now waits for 0.2 s. The test failed before with a timeout.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -42,6 +42,8 @@
 IN_FLIGHT_BYTES: Final = 262_144
 # A stream that arrives in larger parts is not read as fast as it is sent.
 MAX_EVENTS_PART_BYTES: Final = 32_768
+# How long a response that has arrived is held back while memory is short.
+MAX_HOLD_BACK_S: Final = 0.2
 # No further attempt is made with less time remaining.
 MIN_REMAINING_S: Final = 0.02
 # Retry delay for refusals without an estimate of when a slot is free.
@@ -664,10 +666,15 @@
 async def _reserve_in_flight(
     account: memory_budget.Account, deadline: float
 ) -> None:
-    """Charge a response that is passed on, without reading it meanwhile."""
+    """Charge a response that is passed on, without reading it meanwhile.
+
+    What has arrived is passed on after a while although memory stays short.
+    """
     missing = IN_FLIGHT_BYTES - account.held_bytes
     if missing > 0:
-        await account.grow(missing, deadline)
+        await account.grow(
+            missing, min(deadline, deadlines.after(MAX_HOLD_BACK_S))
+        )
 
 
 def _record_result(progress: _Progress, result: Result) -> None:
--- a/tests/test_memory_of_responses.py
+++ b/tests/test_memory_of_responses.py
@@ -42,6 +42,23 @@
                         self.assertEqual(response.body, body)
                         await self.check_given_back(site)
 
+    async def test_response_that_has_arrived_is_not_held_until_the_deadline(
+        self,
+    ) -> None:
+        async with site_lib.open_site("e1") as site:
+            site.endpoints[0].behavior.raw = write_response(BODY)
+            # Uploads of the workspace hold all that it may use.
+            with site.budget.open(
+                memory_budget.Kind.REQUEST, site_lib.WORKSPACE
+            ) as uploads:
+                share = memory_budget.MAX_HOLDER_SHARE
+                self.assertTrue(
+                    uploads.try_grow(int(site.budget.limit_bytes * share))
+                )
+                with anyio.fail_after(10 * forwarding.MAX_HOLD_BACK_S):
+                    response = await site_lib.call(site.address, "/plain/a")
+            self.assertEqual((response.status, response.body), (200, BODY))
+
     async def test_request_body_is_released_when_its_response_begins(
         self,
     ) -> None:
