Give back the memory of jobs at a restart, and load few jobs at a time

What was seen by the review of the batch process, with jobs beyond its memory: each restart of the task that runs jobs left the jobs' memory charged for ever (1.2 MB a job and restart); and of 150 jobs only 16 were loaded after 36 s, with 2,156 reads of the store where 750 were needed.

Causes: the memory was given back only behind the end of a job's task, not on cancellation; and all jobs were loaded at once, each of which gave up after 2 s without memory and began again at its first value.

Memory is now given back on every way out, 16 jobs are loaded at a time and wait for 10 s. Both tests failed before: memory was still held after the restart, and 121 reads were made of 120 keys.

--- a/eelgrassgate/batches/job_memory.py
+++ b/eelgrassgate/batches/job_memory.py
@@ -20,7 +20,7 @@
 MAX_PIECES: Final = 7
 READ_RESERVE_BYTES: Final = (READ_FACTOR + MAX_PIECES) * records.MAX_PART_BYTES
 # How long a read waits for memory before it is tried anew.
-READ_WAIT_S: Final = 2.0
+READ_WAIT_S: Final = 10.0
 # Bytes that an item and its progress take besides its texts and its body.
 ITEM_BYTES: Final = 1_000
 # Bytes that an entry of its headers takes besides its texts.
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -43,6 +43,9 @@
 # exceed the delay until the others see a claim, which is up to 1.3 s.
 CLAIM_STAGGER_S: Final = 1.7
 STORE_RETRY_DELAY_S: Final = 0.3
+# Jobs that are loaded at a time. Each waits for the memory of one value after
+# the other, and with many the first would be loaded as late as the last.
+MAX_LOADING_JOBS: Final = 16
 # Bound on the cached results of closed jobs, a tenth of a small instance's
 # memory.
 MAX_CACHED_BYTES: Final = 20_000_000
@@ -137,6 +140,7 @@
         self._next_start_by_endpoint: dict[str, float] = {}
         self._lease = 0
         self._has_online_reports = False
+        self._loading = anyio.Semaphore(MAX_LOADING_JOBS)
         self.is_draining = False
         open_mirror.subscribe(self._apply_changes)
 
@@ -339,7 +343,8 @@
                     if not owned.is_claimed():
                         await self._claim(owned)
                     if not owned.is_loaded():
-                        await owned.load()
+                        async with self._loading:
+                            await owned.load()
                         logs.log_message(
                             "job claimed",
                             job=name,
@@ -361,9 +366,9 @@
             if self._owned_by_id.get(name) is owned:
                 del self._owned_by_id[name]
             self._unclaimed_since_by_job.pop(name, None)
-        if owned.is_open():
-            owned.release_memory()
-        else:
+            if owned.is_open():
+                owned.release_memory()
+        if not owned.is_open():
             self._closed_jobs.add(name)
             self._cache_job(name, owned)
 
--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -383,6 +383,69 @@
         self.assertLess(most, 8 * MB)
         self.assertGreater(most, MB)
 
+    async def test_a_restart_of_the_owner_gives_its_memory_back(self) -> None:
+        budget = memory_budget.Budget(200_000_000)
+        harness = test_batches.Harness("", budget)
+        reserved = budget.held_bytes
+        harness.registration.lease = (
+            (await harness.store.grant_lease(60.0)).unwrap().lease
+        )
+        await test_batches.submit(
+            harness.store, items=test_batches.make_large_items(4)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(harness.watched.run)
+            for number in range(2):
+                with self.subTest(number), anyio.CancelScope() as scope:
+                    async with anyio.create_task_group() as owner_tasks:
+                        owner_tasks.start_soon(harness.owner.run)
+                        await harness.wait(
+                            lambda: budget.held_bytes > reserved + 1_000_000
+                        )
+                        scope.cancel()
+                self.assertEqual(budget.held_bytes, reserved)
+            tasks.cancel_scope.cancel()
+
+    async def test_jobs_that_wait_for_memory_are_not_loaded_over_and_over(
+        self,
+    ) -> None:
+        jobs = 40
+        read_s = 0.02
+        harness = test_batches.Harness("", memory_budget.Budget(100_000_000))
+        harness.registration.lease = (
+            (await harness.store.grant_lease(60.0)).unwrap().lease
+        )
+        for number in range(jobs):
+            await submission.submit(
+                harness.store,
+                test_batches.make_call(f"job-{number}"),
+                test_batches.ROUTE,
+                site_lib.WORKSPACE,
+                test_batches.split_items(test_batches.make_large_items(4)),
+                1,
+            )
+        read = harness.store.read
+        keys: list[str] = []
+
+        async def read_slowly(key: str) -> Any:
+            keys.append(key)
+            await anyio.sleep(read_s)
+            return await read(key)
+
+        store: Any = harness.store
+        store.read = read_slowly
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(harness.watched.run)
+            tasks.start_soon(harness.owner.run)
+            with anyio.fail_after(30.0):
+                while not all(
+                    harness.owner.find_job(f"job-{number}")
+                    for number in range(jobs)
+                ):
+                    await anyio.sleep(read_s)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(len(keys), len(set(keys)))
+
     async def test_bodies_are_read_once_while_memory_suffices(self) -> None:
         read: Counter[str] = Counter()
         store_read = faulty.FaultyStore.read
