Keep stalled clients from taking the turns of uploads

Cause: each connection took one of the places at which large bodies are received for some milliseconds in every round, also while it had nothing to receive. A connection without data now waits without a place, and takes a turn for what it then receives.

--- a/eelgrassgate/http1/pacing.py
+++ b/eelgrassgate/http1/pacing.py
@@ -39,10 +39,13 @@
 
         Raises the exceptions of `stream.receive`.
         """
-        while True:
-            async with self._readers:
-                with anyio.move_on_after(READ_TURN_S):
-                    return await stream.receive(max_bytes)
+        async with self._readers:
+            with anyio.move_on_after(READ_TURN_S):
+                return await stream.receive(max_bytes)
+        # A connection without data takes no place of others.
+        data = await stream.receive(max_bytes)
+        await self.wait_turn()
+        return data
 
 
 def create_pacer() -> Pacer:
