Drop what was read of a refused request, and let a shutdown close it

What was seen by the review: 1,000 clients that were refused while they sent grew a gateway to 506 MB, and one refused client that stayed held up a shutdown for 5 s.

Causes: the response's writer kept the parsed bytes, up to 256 kB for each client, for as long as the rest of the request was discarded; and the connection counted as busy meanwhile.

The writer is dropped first, and a connection whose refusal was sent counts as idle, so that a shutdown, or the lack of descriptors, closes it at once. Both tests failed before.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -453,16 +453,25 @@
         )
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
+        if await self._reply_refusal(refusal):
+            await self._discard_rest()
+
+    async def _reply_refusal(self, refusal: Refusal) -> bool:
+        """Respond with a refusal; returns whether it was sent."""
         responder = Responder(self._http, self._stream, self._is_closing)
         responder.is_closing = True
         try:
             await responder.reply(refusal.status, refusal.headers)
-            await self._discard_rest()
         except (ClientDisconnectedError, h11.LocalProtocolError):
-            return
+            return False
+        return True
 
     async def _discard_rest(self) -> None:
-        """Let the client read the last response before the close."""
+        """Let the client read the last response before the close.
+
+        Nothing is owed to it any more, so the connection counts as idle.
+        """
+        self.is_idle = True
         # Drops what was received of the request.
         self._http = h11.Connection(h11.SERVER)
         left = MAX_DISCARDED_BYTES
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -2,11 +2,13 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import gc
 import socket
 from typing import Any
 from typing import Final
 import unittest
 from unittest import mock
+import weakref
 
 import anyio
 import anyio.abc
@@ -269,6 +271,49 @@
                 with one:
                     self.assertIn(b"200 OK", one.recv(1_000))
 
+    async def test_refused_client_that_stays_does_not_hold_up_a_shutdown(
+        self,
+    ) -> None:
+        accepting = anyio.CancelScope()
+        async with (
+            open_listener(Echo(), accepting) as (listener, port),
+            await anyio.connect_tcp("127.0.0.1", port) as stream,
+        ):
+            await stream.send(
+                b"POST / HTTP/1.1\r\nHost: a\r\n"
+                b"Content-Length: 99999999\r\n\r\n"
+            )
+            self.assertIn(b"413", await stream.receive())
+            accepting.cancel()
+            with anyio.fail_after(downstream.DISCARD_TIMEOUT_S / 2):
+                cut = await listener.drain(
+                    deadlines.after(site_lib.TEST_TIMEOUT_S)
+                )
+        self.assertEqual(cut, 0)
+
+    async def test_what_was_read_of_a_refused_request_is_not_kept(self) -> None:
+        kept: list[weakref.ref[object]] = []
+        connect = h11.Connection
+
+        def record(*args: Any, **options: Any) -> object:
+            created = connect(*args, **options)
+            kept.append(weakref.ref(created))
+            return created
+
+        with mock.patch.object(h11, "Connection", record):
+            async with (
+                open_listener(Echo()) as (_, port),
+                await anyio.connect_tcp("127.0.0.1", port) as stream,
+            ):
+                await stream.send(
+                    b"POST / HTTP/1.1\r\nHost: a\r\n"
+                    b"Content-Length: 99999999\r\n\r\n" + bytes(10_000)
+                )
+                self.assertIn(b"413", await stream.receive())
+                await anyio.wait_all_tasks_blocked()
+                gc.collect()
+                self.assertIsNone(kept[0]())
+
     async def test_request_in_transit_during_a_close_does_not_run(self) -> None:
         echo = Echo()
         async with (
