Keep an error in one job from stopping the jobs of the process

Found by reading: an unexpected exception while one job is claimed, loaded or committed ended the task of all jobs, which the supervisor starts again: a job on which it happens each time would have held up all others for ever. Such a job is now tried again by itself. The test failed before: with one job that can't be loaded, no other job ended.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -357,6 +357,12 @@
                         "job store call failed", job=name, reason=str(error)
                     )
                     await anyio.sleep(STORE_RETRY_DELAY_S)
+                except ownership.OwnershipLostError:
+                    raise
+                except Exception:
+                    # An error in one job must not stop the other jobs.
+                    logs.log_exception("job failed", job=name)
+                    await anyio.sleep(STORE_RETRY_DELAY_S)
         except ownership.OwnershipLostError as error:
             logs.log_message("job ownership lost", job=name, reason=str(error))
             # If the job is still open, it can be claimed again.
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -633,6 +633,28 @@
                             (result.state, result.text), (state, text)
                         )
 
+    async def test_an_error_in_one_job_does_not_stop_the_others(self) -> None:
+        load = ownership.OwnedJob.load
+
+        async def fail(owned: ownership.OwnedJob) -> None:
+            if owned.id == "broken":
+                raise RuntimeError("injected")
+            await load(owned)
+
+        with mock.patch.object(ownership.OwnedJob, "load", fail):
+            async with open_harness() as harness:
+                await submission.submit(
+                    harness.store,
+                    make_call("broken"),
+                    ROUTE,
+                    site_lib.WORKSPACE,
+                    split_items(make_large_items(1)),
+                    1,
+                )
+                await submit(harness.store, 2)
+                found = await harness.read_all()
+        self.assertEqual(sorted(found), ["i0", "i1"])
+
     async def test_items_of_an_added_route_become_dead_letters(self) -> None:
         async with open_harness() as harness:
             harness.catalog = site_lib.make_catalog(
