Take turns in one place, and give memory back in batch processes too

Two modules let tasks take turns on the event loop; one uses the other now. The allocator's settings applied to gateways only. An account that gives nothing back costs nothing.

--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from eelgrassgate import allocator
 from eelgrassgate import binding
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
@@ -218,6 +217,5 @@
         node_settings: Settings of this process.
         adapters: Adapters to the platform.
     """
-    allocator.limit_retention()
     node = node_lib.create_node(node_settings, registry.Role.GATEWAY, adapters)
     return Gateway(node)
--- a/eelgrassgate/http1/pacing.py
+++ b/eelgrassgate/http1/pacing.py
@@ -9,7 +9,8 @@
 
 import anyio
 from anyio import abc
-import anyio.lowlevel
+
+from eelgrassgate.http1 import turns
 
 # Bodies up to this size are handled without turns, which covers nearly all.
 UNPACED_BYTES: Final = 65_536
@@ -26,13 +27,12 @@
 
     def __init__(self) -> None:
         """Initialize; see `create_pacer`."""
-        self._lock = anyio.Lock()
+        self._turns = turns.create_turns(readers_per_pass=1)
         self._readers = anyio.Semaphore(MAX_READERS)
 
     async def wait_turn(self) -> None:
         """Wait for a turn; there is one in each iteration of the event loop."""
-        async with self._lock:
-            await anyio.lowlevel.checkpoint()
+        await self._turns.take()
 
     async def receive(self, stream: abc.SocketStream, max_bytes: int) -> bytes:
         """Receive part of a large body when it is this connection's turn.
--- a/eelgrassgate/http1/turns.py
+++ b/eelgrassgate/http1/turns.py
@@ -13,9 +13,9 @@
 class Turns:
     """Lets a few readers at a time go on, in the order in which they ask."""
 
-    def __init__(self) -> None:
-        """Initialize with no reader."""
-        self._readers = anyio.Semaphore(READERS_PER_PASS)
+    def __init__(self, readers_per_pass: int) -> None:
+        """Initialize with no reader; see `create_turns`."""
+        self._readers = anyio.Semaphore(readers_per_pass)
 
     async def take(self) -> None:
         """Give way to other tasks and wait for a turn."""
@@ -23,6 +23,10 @@
             await anyio.lowlevel.checkpoint()
 
 
-def create_turns() -> Turns:
-    """Create turns for the readers of one pool."""
-    return Turns()
+def create_turns(readers_per_pass: int = READERS_PER_PASS) -> Turns:
+    """Create turns.
+
+    Args:
+        readers_per_pass: How many go on in one pass of the event loop.
+    """
+    return Turns(readers_per_pass)
--- a/eelgrassgate/memory_budget.py
+++ b/eelgrassgate/memory_budget.py
@@ -209,8 +209,11 @@
 
     def give_back(self, account: Account, size: int) -> None:
         """Reduce the charges of an account; see `Account.shrink`."""
+        if not size:
+            return
         self._apply(account, -size)
-        self._grant_waiting()
+        if self._waiters:
+            self._grant_waiting()
         if self._is_short and not self._waiters:
             self._is_short = False
             logs.log_message("memory:sufficient", held_bytes=self.held_bytes)
--- a/eelgrassgate/platform/process.py
+++ b/eelgrassgate/platform/process.py
@@ -10,6 +10,7 @@
 import anyio
 from returns import result
 
+from eelgrassgate import allocator
 from eelgrassgate import deadlines
 from eelgrassgate import findings as findings_lib
 from eelgrassgate import logs
@@ -125,6 +126,7 @@
     logs.log_message(
         "started", zone=node_settings.zone, region=node_settings.region
     )
+    allocator.limit_retention()
     try:
         if not received.must_stop:
             anyio.run(
