Charge each stream for its buffers

The charge that was meant for them depended on the size of a part, which is 4,096 bytes at most since events are split in pieces, so that it was never made.

A stream is now charged when its response begins, without a wait: large requests give way earlier. The test is new; before, a running stream held nothing.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -40,8 +40,9 @@
 # Memory of a response that is passed on faster than its caller reads: what is
 # received at once, a piece of it, and the connection's buffers.
 IN_FLIGHT_BYTES: Final = 262_144
-# A stream that arrives in larger parts is not read as fast as it is sent.
-MAX_EVENTS_PART_BYTES: Final = 32_768
+# Memory of a stream: a part of it, and the connections' buffers. Streams are
+# urgent, so that none waits for it.
+STREAM_BYTES: Final = memory_budget.SMALL_BYTES
 # How long a response that has arrived is held back while memory is short.
 MAX_HOLD_BACK_S: Final = 0.2
 # No further attempt is made with less time remaining.
@@ -567,9 +568,8 @@
             if not complete_events:
                 continue
             progress.has_output = True
-            if len(part) > MAX_EVENTS_PART_BYTES:
-                await _reserve_in_flight(account, call.deadline)
             if not responder.has_begun:
+                account.try_grow(STREAM_BYTES)
                 if not route.is_resumable:
                     call.content.release()
                 await responder.begin(
--- a/tests/test_memory_of_responses.py
+++ b/tests/test_memory_of_responses.py
@@ -92,6 +92,20 @@
                     )
                     await self.check_given_back(site)
 
+    async def test_stream_is_charged_while_it_runs(self) -> None:
+        async with site_lib.open_site("e1") as site:
+            site.endpoints[0].behavior.event_delay_s = 0.1
+            held_by_kind = site.budget.held_bytes_by_kind
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(site_lib.call, site.address, "/stream/a")
+                with anyio.fail_after(site_lib.TEST_TIMEOUT_S):
+                    while (
+                        held_by_kind[memory_budget.Kind.RESPONSE]
+                        < forwarding.STREAM_BYTES
+                    ):
+                        await anyio.sleep(0.01)
+            await self.check_given_back(site)
+
     async def test_unread_response_is_charged(self) -> None:
         async with site_lib.open_site("e1") as site:
             response = write_response(bytes(30_000_000))
