Count the loads of jobs in the test of jobs that wait for memory

It was wrong: while memory is short, a value whose bodies gave way is read again on purpose, which is no second load of its job; the failure that shows for the code before it (121 reads) was of that kind too.

The test now counts reads of a job's head, with which each load begins, in a play in which waits for memory last longer than the former limit.

--- a/tests/test_memory_of_jobs.py
+++ b/tests/test_memory_of_jobs.py
@@ -21,6 +21,7 @@
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import items as items_lib
+from eelgrassgate.batches import job_memory
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
@@ -409,42 +410,51 @@
     async def test_jobs_that_wait_for_memory_are_not_loaded_over_and_over(
         self,
     ) -> None:
-        jobs = 40
-        read_s = 0.02
+        jobs = 60
+        # Time runs ten times as fast as for a process in another region whose
+        # store is slow.
+        read_s = 0.015
+        wait_s = job_memory.READ_WAIT_S / 10.0
         harness = test_batches.Harness("", memory_budget.Budget(100_000_000))
         harness.registration.lease = (
             (await harness.store.grant_lease(60.0)).unwrap().lease
         )
+        items = tuple(
+            calls.BatchItem(f"i{number}", "/batch/1", {}, bytes(600_000))
+            for number in range(4)
+        )
         for number in range(jobs):
             await submission.submit(
                 harness.store,
                 test_batches.make_call(f"job-{number}"),
                 test_batches.ROUTE,
                 site_lib.WORKSPACE,
-                test_batches.split_items(test_batches.make_large_items(4)),
+                test_batches.split_items(items),
                 1,
             )
         read = harness.store.read
-        keys: list[str] = []
+        loads: Counter[str] = Counter()
 
         async def read_slowly(key: str) -> Any:
-            keys.append(key)
+            if key.startswith(records.HEADS):
+                loads[key] += 1
             await anyio.sleep(read_s)
             return await read(key)
 
         store: Any = harness.store
         store.read = read_slowly
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(harness.watched.run)
-            tasks.start_soon(harness.owner.run)
-            with anyio.fail_after(30.0):
-                while not all(
-                    harness.owner.find_job(f"job-{number}")
-                    for number in range(jobs)
-                ):
-                    await anyio.sleep(read_s)
-            tasks.cancel_scope.cancel()
-        self.assertEqual(len(keys), len(set(keys)))
+        with mock.patch.object(job_memory, "READ_WAIT_S", wait_s):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.watched.run)
+                tasks.start_soon(harness.owner.run)
+                with anyio.fail_after(30.0):
+                    while not all(
+                        harness.owner.find_job(f"job-{number}")
+                        for number in range(jobs)
+                    ):
+                        await anyio.sleep(read_s)
+                tasks.cancel_scope.cancel()
+        self.assertEqual(set(loads.values()), {1})
 
     async def test_bodies_are_read_once_while_memory_suffices(self) -> None:
         read: Counter[str] = Counter()
