Keep online requests in the regions that routes and workspaces allow

Cause: a request could be sent to any endpoint of its service, whatever region its data may be in.

Change: `allowed-regions` of routes and workspaces is decoded; a missing field or an empty list restricts nothing, and a malformed one allows no region. `gateway/eligibility.py` decides whether a request may go to an endpoint and names the reason if not; placement uses it. First attempts, retries and resumed streams read the restriction of the configuration in force. Regions that no availability zone has are logged.

--- a/eelgrassgate/gateway/catalog.py
+++ b/eelgrassgate/gateway/catalog.py
@@ -43,6 +43,7 @@
         completion_s: For batch routes, time within which all results are due.
         retention_s: For batch routes, time after which unfinished items may
             be abandoned.
+        allowed_regions: Regions that its requests may use; None for all.
     """
 
     name: str
@@ -58,6 +59,7 @@
     is_resumable: bool = False
     completion_s: float = 0.0
     retention_s: float = 0.0
+    allowed_regions: frozenset[str] | None = None
 
     def is_idempotent(self) -> bool:
         """Return whether a request may safely run more than once."""
@@ -81,12 +83,17 @@
 
 
 class Workspace(msgspec.Struct, frozen=True):
-    """A workspace and its rate limit; a rate of 0 means no limit."""
+    """A workspace and its rate limit; a rate of 0 means no limit.
+
+    Attributes:
+        allowed_regions: Regions that its requests may use; None for all.
+    """
 
     name: str
     rate_per_s: float
     burst: float
     priority: int = 0
+    allowed_regions: frozenset[str] | None = None
 
 
 class Endpoint(msgspec.Struct, frozen=True):
@@ -138,6 +145,22 @@
         return None
 
 
+def combine_regions(
+    route: Route | None, workspace: Workspace | None
+) -> frozenset[str] | None:
+    """Return the regions that requests may use; None for all.
+
+    If both the route and the workspace restrict them, both apply.
+    """
+    of_route = None if route is None else route.allowed_regions
+    of_workspace = None if workspace is None else workspace.allowed_regions
+    if of_route is None:
+        return of_workspace
+    if of_workspace is None:
+        return of_route
+    return of_route & of_workspace
+
+
 EMPTY: Final = Catalog(0, {}, {}, {}, {})
 
 
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -60,6 +60,7 @@
             node.metrics,
             self._shutdown,
             node.budget,
+            node.discovery.get_catalog,
         )
         reader = results.create_reader(
             adapters.store,
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -1,6 +1,8 @@
 """Forwards calls to endpoints, with retries and stream resumption."""
 
+from collections.abc import Callable
 import enum
+import functools
 import random
 from typing import Final
 
@@ -18,6 +20,7 @@
 from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.gateway import regions as regions_lib
 from eelgrassgate.gateway import shutdown as shutdown_lib
 from eelgrassgate.gateway import splits
 from eelgrassgate.http1 import downstream
@@ -129,8 +132,10 @@
         metrics: metrics_lib.Metrics,
         shutdown: shutdown_lib.Shutdown,
         budget: memory_budget.Budget,
+        read_catalog: Callable[[], catalog.Catalog],
     ) -> None:
         """Initialize; see `create_forwarder`."""
+        self._read_catalog = read_catalog
         self._budget = budget
         self._dialect = dialect
         self._pool = pool
@@ -187,8 +192,15 @@
         progress: _Progress,
     ) -> None:
         """Try endpoints until one responds or no retry is allowed."""
+        restriction = regions_lib.create_restriction(
+            self._read_catalog, call.host, call.path, route, workspace
+        )
         service = splits.choose_service(
-            route, random.random(), self._placement.has_endpoints
+            route,
+            random.random(),
+            functools.partial(
+                self._placement.has_endpoints, regions=restriction.read()
+            ),
         )
         excluded: set[str] = set()
         begun_at: set[str] = set()
@@ -200,20 +212,18 @@
                     call, suspect, progress, responder
                 )
                 return
+            regions = restriction.read()
             choice = self._placement.choose_endpoint(
-                service, frozenset(excluded)
+                service, frozenset(excluded), regions=regions
             )
             if choice is None and excluded and progress.attempts:
                 # Retry at the same endpoint if there is no other.
                 choice = self._placement.choose_endpoint(
-                    service, frozenset(refused_by)
+                    service, frozenset(refused_by), regions=regions
                 )
             if choice is None:
-                return_after_s = RETRY_AFTER_S
-                if not self._placement.get_endpoints(service):
-                    return_after_s = load_shedding.compute_absence_delay()
-                await self._reply_failure(
-                    call, progress, responder, "no endpoint", return_after_s
+                await self._reply_absence(
+                    call, service, regions, progress, responder
                 )
                 return
             retry_after_s = load_shedding.compute_retry_delay(
@@ -251,7 +261,9 @@
                 route, outcome, progress, call.deadline
             ):
                 await anyio.sleep(RETURN_DELAY_S)
-                endpoints = self._placement.get_endpoints(service)
+                endpoints = self._placement.get_endpoints(
+                    service, restriction.read()
+                )
                 excluded = {one.id for one in endpoints} - begun_at
                 can_retry = len(excluded) < len(endpoints)
             if progress.has_endpoint_ended and self._quarantine.is_suspect(
@@ -630,6 +642,27 @@
             UNAVAILABLE, self._dialect.write_refusal_headers(retry_after_s)
         )
 
+    async def _reply_absence(
+        self,
+        call: calls.Call,
+        service: str,
+        regions: frozenset[str] | None,
+        progress: _Progress,
+        responder: downstream.Responder,
+    ) -> None:
+        """Respond to a call that no endpoint takes now."""
+        reason = "no endpoint"
+        retry_after_s = RETRY_AFTER_S
+        if not self._placement.has_endpoints(service, regions):
+            retry_after_s = load_shedding.compute_absence_delay()
+            absence = self._placement.explain_absence(service, regions)
+            if absence is not None:
+                reason = f"no endpoint: {absence.value}"
+                self._metrics.count_ineligible(absence.value)
+        await self._reply_failure(
+            call, progress, responder, reason, retry_after_s
+        )
+
     async def _reply_failure(
         self,
         call: calls.Call,
@@ -764,6 +797,7 @@
     metrics: metrics_lib.Metrics,
     shutdown: shutdown_lib.Shutdown,
     budget: memory_budget.Budget,
+    read_catalog: Callable[[], catalog.Catalog],
 ) -> Forwarder:
     """Create a forwarder.
 
@@ -776,6 +810,7 @@
         metrics: Counts attempts.
         shutdown: Ends calls when the process shuts down.
         budget: Memory for responses.
+        read_catalog: Returns the current configuration.
     """
     return Forwarder(
         dialect,
@@ -786,4 +821,5 @@
         metrics,
         shutdown,
         budget,
+        read_catalog,
     )
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -68,6 +68,12 @@
             "Forwarded responses that state that their endpoint drains.",
             registry=self._registry,
         )
+        self._ineligible = prometheus_client.Counter(
+            "eelgrassgate_ineligible_requests",
+            "Requests that no endpoint was allowed to take, by reason.",
+            ("reason",),
+            registry=self._registry,
+        )
         self._runs = prometheus_client.Counter(
             "eelgrassgate_item_runs",
             "Runs of batch items by result.",
@@ -206,6 +212,10 @@
         """Count a forwarded response that states that its endpoint drains."""
         self._draining_responses.inc()
 
+    def count_ineligible(self, reason: str) -> None:
+        """Count a request that no endpoint was allowed to take."""
+        self._ineligible.labels(reason).inc()
+
     def count_task_failure(self, task: str) -> None:
         """Count a failure of a long-lived task."""
         self._task_failures.labels(task).inc()
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -16,12 +16,14 @@
 from eelgrassgate import supervision
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
+from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import config_sync
 from eelgrassgate.gateway import discovery as discovery_lib
 from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import endpoint_limits
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
+from eelgrassgate.gateway import regions
 from eelgrassgate.gateway import settings
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import failures
@@ -162,6 +164,7 @@
             self.reports,
             adapters.store.is_directly_reachable,
         )
+        config.subscribe(self._check_regions)
         self.metrics.observe_config(
             lambda: config.catalog.version, config.get_age_s
         )
@@ -175,6 +178,11 @@
         )
         self.discovery.subscribe_to_endpoints(self.placement.set_endpoints)
 
+    def _check_regions(self, current: catalog.Catalog) -> None:
+        regions.log_unknown_regions(
+            current, self.settings.region_by_zone.values()
+        )
+
     def _is_in_same_zone(self, name: str) -> bool:
         member = self.directory.members_by_name.get(name)
         return member is not None and member.zone == self.member.zone
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -13,6 +13,7 @@
 from eelgrassgate import outcomes
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining as draining_lib
+from eelgrassgate.gateway import eligibility
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
 from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
@@ -118,18 +119,84 @@
         self._endpoints_by_service = {}
         self._are_all_limited_by_service.clear()
         for endpoint in self._endpoints_by_id.values():
-            if not self.draining.is_draining(endpoint):
+            reason = eligibility.find_reason(
+                is_draining=self.draining.is_draining(endpoint)
+            )
+            if reason is None:
                 self._endpoints_by_service.setdefault(
                     endpoint.service, []
                 ).append(endpoint)
 
-    def get_endpoints(self, service: str) -> list[catalog.Endpoint]:
-        """Return the endpoints of a service that accept new requests."""
-        return self._endpoints_by_service.get(service, [])
+    def get_endpoints(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> list[catalog.Endpoint]:
+        """Return the endpoints of a service that accept new requests.
 
-    def has_endpoints(self, service: str) -> bool:
+        Args:
+            service: The service.
+            regions: Regions that the requests may use; None for all.
+        """
+        endpoints = self._endpoints_by_service.get(service, [])
+        if regions is None:
+            return endpoints
+        return [one for one in endpoints if self._is_in_region(one, regions)]
+
+    def has_endpoints(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> bool:
         """Return whether a service has endpoints that accept requests."""
-        return bool(self.get_endpoints(service))
+        return bool(self.get_endpoints(service, regions))
+
+    def _is_in_region(
+        self, endpoint: catalog.Endpoint, regions: frozenset[str] | None
+    ) -> bool:
+        return eligibility.is_region_allowed(
+            self._region_by_zone.get(endpoint.zone), regions
+        )
+
+    def find_reason(
+        self,
+        endpoint: catalog.Endpoint,
+        regions: frozenset[str] | None = None,
+        *,
+        is_quarantined: bool = False,
+    ) -> eligibility.Reason | None:
+        """Return why a request may not go to an endpoint now, if so.
+
+        Args:
+            endpoint: The endpoint.
+            regions: Regions that the request may use; None for all.
+            is_quarantined: Whether the request is quarantined.
+        """
+        return eligibility.find_reason(
+            is_quarantined=is_quarantined,
+            is_in_region=self._is_in_region(endpoint, regions),
+            is_draining=self.draining.is_draining(endpoint),
+            is_unhealthy=self.is_in_backoff(endpoint.id),
+            limit_wait_s=self.compute_limit_wait(endpoint),
+        )
+
+    def explain_absence(
+        self, service: str, regions: frozenset[str] | None
+    ) -> eligibility.Reason | None:
+        """Return why no endpoint of a service takes a request.
+
+        An endpoint in an allowed region tells more than one in another; None
+        if the service has no endpoint at all.
+        """
+        reasons = {
+            self.find_reason(one, regions)
+            for one in self._endpoints_by_id.values()
+            if one.service == service
+        }
+        for reason in (
+            eligibility.Reason.EVACUATED,
+            eligibility.Reason.DRAINING,
+            eligibility.Reason.REGION,
+        ):
+            if reason in reasons:
+                return reason
+        return None
 
     def is_in_backoff(self, endpoint: str) -> bool:
         """Return whether an endpoint is in backoff or unresponsive."""
@@ -165,16 +232,25 @@
                 del self._last_activity_by_endpoint[endpoint]
 
     def choose_endpoint(
-        self, service: str, excluded: frozenset[str] = frozenset()
+        self,
+        service: str,
+        excluded: frozenset[str] = frozenset(),
+        *,
+        regions: frozenset[str] | None = None,
     ) -> Choice | None:
         """Return the endpoint with the lowest cost; None if there is none.
 
         An endpoint whose limit allows no request now is chosen only if that is
         so for all.
+
+        Args:
+            service: The service.
+            excluded: Ids of endpoints to leave out.
+            regions: Regions that the request may use; None for all.
         """
         best: catalog.Endpoint | None = None
         best_cost = (0.0, 0.0)
-        for endpoint in self.get_endpoints(service):
+        for endpoint in self.get_endpoints(service, regions):
             if endpoint.id in excluded:
                 continue
             cost = (
--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -67,6 +67,7 @@
     traffic_split: list[_Split] = []
     completion_target_ms: decoding.Amount = 0.0
     retention_s: decoding.Amount = 0.0
+    allowed_regions: Any = ()
 
 
 class _Service(msgspec.Struct, frozen=True, rename="kebab"):
@@ -82,6 +83,7 @@
     rate_per_s: decoding.Amount = 0.0
     burst: decoding.Amount = 0.0
     priority: _Int64 | None = None
+    allowed_regions: Any = ()
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
@@ -149,7 +151,11 @@
         },
         {
             one.name: catalog.Workspace(
-                one.name, one.rate_per_s, one.burst, one.priority or 0
+                one.name,
+                one.rate_per_s,
+                one.burst,
+                one.priority or 0,
+                _read_regions(f"tenants/{one.name}", one.allowed_regions),
             )
             for one in config.tenants
         },
@@ -185,9 +191,28 @@
         route.allow_resume,
         route.completion_target_ms / MS_PER_S,
         route.retention_s,
+        _read_regions(f"routes/{route.name}", route.allowed_regions),
     )
 
 
+def _read_regions(location: str, value: Any) -> frozenset[str] | None:
+    """Return the regions that requests may use; None for all.
+
+    A malformed value allows no region, and the rest of the configuration
+    applies: a mistake must not let requests leave their regions.
+    """
+    if isinstance(value, list | tuple) and all(
+        isinstance(one, str) for one in value
+    ):
+        return frozenset(value) if value else None
+    logs.log_message(
+        "config:regions_invalid",
+        location=location,
+        reason="allowed-regions is no list of names; no region is allowed",
+    )
+    return frozenset()
+
+
 def decode_endpoint(key: str, value: bytes) -> catalog.Endpoint | None:
     """Decode an endpoint's entry; return None if it is not usable."""
     endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
--- a/tests/site.py
+++ b/tests/site.py
@@ -286,6 +286,7 @@
                 self.metrics,
                 self.shutdown,
                 self.budget,
+                lambda: self.catalog,
             ),
             batches,
             self.metrics,
