Look up the regions of a request once for each configuration

The routes of a host are searched in order, so that looking up the route before each attempt cost one more search on hosts with many routes. The restriction of a request now changes only with the configuration; tests.test_regions pass.

--- a/eelgrassgate/gateway/regions.py
+++ b/eelgrassgate/gateway/regions.py
@@ -29,15 +29,23 @@
         self._route = route
         self._workspace_name = workspace
         self._workspace: catalog_lib.Workspace | None = None
+        self._catalog: catalog_lib.Catalog | None = None
+        self._regions: frozenset[str] | None = None
 
     def read(self) -> frozenset[str] | None:
         """Return the regions that the request may use now; None for all."""
         current = self._read_catalog()
+        if current is self._catalog:
+            return self._regions
+        self._catalog = current
         self._route = current.find_route(self._host, self._path) or self._route
         self._workspace = current.workspaces_by_name.get(
             self._workspace_name, self._workspace
         )
-        return catalog_lib.combine_regions(self._route, self._workspace)
+        self._regions = catalog_lib.combine_regions(
+            self._route, self._workspace
+        )
+        return self._regions
 
 
 def find_unknown_regions(
