Keep jobs in the regions that routes and workspaces allow

Cause: a batch process in any region claimed a job and read its items, and gateways asked any process for results and cached them.

Change: the job's record names the region of the gateway that accepted it. `batches/job_regions.py` looks the restriction up in the configuration in force: items start at endpoints of allowed regions; a process claims a job, is asked for its results and caches them only in an allowed region or in that of the accepting gateway. A process that a change of the configuration puts outside commits what has completed and releases its claim. Store calls of a job use relays in these regions only; the regions belong to the task that makes the calls, so that stores need no argument.

--- /dev/null
+++ b/eelgrassgate/batches/job_regions.py
@@ -0,0 +1,74 @@
+"""Regions in which a job's items and results may be."""
+
+from collections.abc import Callable
+
+from eelgrassgate.batches import records
+from eelgrassgate.gateway import catalog as catalog_lib
+from eelgrassgate.gateway import eligibility
+
+
+class JobRegions:
+    """Looks up the restriction of jobs in the configuration in force."""
+
+    def __init__(
+        self, read_catalog: Callable[[], catalog_lib.Catalog], own_region: str
+    ) -> None:
+        """Initialize; see `create_job_regions`."""
+        self._read_catalog = read_catalog
+        self._own_region = own_region
+
+    def find_endpoint_regions(self, job: records.Job) -> frozenset[str] | None:
+        """Return the regions whose endpoints may run items; None for all.
+
+        No region is allowed while this process's configuration is older than
+        the one by which the job was accepted.
+        """
+        current = self._read_catalog()
+        if not current.version or current.version < job.config_version:
+            return frozenset()
+        return catalog_lib.combine_regions(
+            current.find_route(job.host, job.path),
+            current.workspaces_by_name.get(job.workspace),
+        )
+
+    def find_holder_regions(self, job: records.Job) -> frozenset[str] | None:
+        """Return the regions whose processes may hold bodies; None for all.
+
+        The region of the gateway that accepted the job is always among them.
+        """
+        allowed = self.find_endpoint_regions(job)
+        return allowed if allowed is None else allowed | {job.region}
+
+    def may_hold(self, job: records.Job) -> bool:
+        """Return whether this process may hold a job's items and results."""
+        if job.region == self._own_region:
+            return True
+        return eligibility.is_region_allowed(
+            self._own_region, self.find_holder_regions(job)
+        )
+
+    def find_submission_regions(
+        self, route: catalog_lib.Route, workspace: str
+    ) -> frozenset[str] | None:
+        """Return the regions that may hold a job that is accepted here."""
+        allowed = catalog_lib.combine_regions(
+            route, self._read_catalog().workspaces_by_name.get(workspace)
+        )
+        return allowed if allowed is None else allowed | {self._own_region}
+
+    @property
+    def own_region(self) -> str:
+        """The region of this process."""
+        return self._own_region
+
+
+def create_job_regions(
+    read_catalog: Callable[[], catalog_lib.Catalog], own_region: str
+) -> JobRegions:
+    """Create the lookup.
+
+    Args:
+        read_catalog: Returns the current configuration.
+        own_region: Region of this process.
+    """
+    return JobRegions(read_catalog, own_region)
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -1,6 +1,7 @@
 """Claims open jobs and runs their items between online requests."""
 
 from collections.abc import Callable
+import functools
 import sys
 import time
 from typing import Final
@@ -17,11 +18,13 @@
 from eelgrassgate import outcomes
 from eelgrassgate.batches import items
 from eelgrassgate.batches import job_memory
+from eelgrassgate.batches import job_regions
 from eelgrassgate.batches import ownership
 from eelgrassgate.batches import records
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
+from eelgrassgate.gateway import eligibility
 from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import placement as placement_lib
@@ -34,6 +37,7 @@
 from eelgrassgate.quarantine import quarantine as quarantine_lib
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
+from eelgrassgate.store import relay_regions
 
 # Interval of the scheduling loop; load reports arrive about as often.
 POLL_INTERVAL_S: Final = 0.05
@@ -127,6 +131,10 @@
         self._loads = load_table
         self._quarantine = quarantine
         self._read_catalog = read_catalog
+        self._regions = job_regions.create_job_regions(
+            read_catalog, member.region
+        )
+        self._checked_catalog = catalog.EMPTY
         self._metrics = metrics
         self._jobs_by_id: dict[str, _OpenJob] = {}
         self._closed_jobs: set[str] = set()
@@ -229,6 +237,7 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 self._check_lease()
+                self._drop_disallowed()
                 self._charge_outputs()
                 if not self.is_draining:
                     self._close_cancelled(tasks)
@@ -246,12 +255,22 @@
         for owned in self._owned_by_id.values():
             owned.mark_claim_expired()
 
+    def _drop_disallowed(self) -> None:
+        """Drop the results of closed jobs that may no longer be held here."""
+        current = self._read_catalog()
+        if current is self._checked_catalog:
+            return
+        self._checked_catalog = current
+        for name, cached in list(self._cached_by_id.items()):
+            if not self._regions.may_hold(cached.job):
+                del self._cached_by_id[name]
+                cached.release_memory()
+
     def _claim_available(self, tasks: abc.TaskGroup) -> None:
         """Claim open jobs that have no owner once it is this member's turn."""
         if not self._lease or not self._open_mirror.is_connected:
             return
         now = deadlines.now()
-        members = self._directory.get_names(registry.Role.BATCH)
         is_short = self._find_unloaded() is not None
         for name, job in list(self._jobs_by_id.items()):
             if name in self._owned_by_id:
@@ -264,7 +283,11 @@
             if claim is not None and not self._is_stale_claim(claim):
                 self._unclaimed_since_by_job.pop(name, None)
                 continue
+            if not self._regions.may_hold(job.job):
+                self._unclaimed_since_by_job.pop(name, None)
+                continue
             since = self._unclaimed_since_by_job.setdefault(name, now)
+            members = self._list_candidates(job.job)
             order = rendezvous.rank_members(name, members)
             turn = len(order)
             if self._member.name in order:
@@ -281,6 +304,16 @@
                 self._owned_by_id[name] = owned
                 tasks.start_soon(self._run_job, name, owned)
 
+    def _list_candidates(self, job: records.Job) -> list[str]:
+        """Return the names of the processes that may claim a job."""
+        regions = self._regions.find_holder_regions(job)
+        members = self._directory.members_by_name
+        return [
+            name
+            for name in self._directory.get_names(registry.Role.BATCH)
+            if eligibility.is_region_allowed(members[name].region, regions)
+        ]
+
     def _close_cancelled(self, tasks: abc.TaskGroup) -> None:
         """Close cancelled jobs for which this member is the preferred owner."""
         members = self._directory.get_names(registry.Role.BATCH)
@@ -339,19 +372,10 @@
         """Claim a job and commit its results until it is closed or lost."""
         try:
             while owned.is_open() and not owned.is_stopped:
+                regions = self._regions.find_holder_regions(owned.job)
                 try:
-                    if not owned.is_claimed():
-                        await self._claim(owned)
-                    if not owned.is_loaded():
-                        async with self._loading:
-                            await owned.load()
-                        logs.log_message(
-                            "job claimed",
-                            job=name,
-                            left=len(owned.waiting),
-                            total=owned.job.total,
-                        )
-                    await self._commit_results(owned)
+                    with relay_regions.restrict(regions):
+                        await self._advance_job(name, owned)
                 except ownership.StoreFailedError as error:
                     logs.log_message(
                         "job store call failed", job=name, reason=str(error)
@@ -378,6 +402,49 @@
             self._closed_jobs.add(name)
             self._cache_job(name, owned)
 
+    async def _advance_job(self, name: str, owned: ownership.OwnedJob) -> None:
+        """Claim and load a job if needed; commit its results.
+
+        Raises:
+            ownership.OwnershipLostError: Another process holds the claim.
+            ownership.StoreFailedError: A store call failed.
+        """
+        if not self._regions.may_hold(owned.job):
+            await self._give_up(name, owned)
+            return
+        if not owned.is_claimed():
+            await self._claim(owned)
+        if not owned.is_loaded():
+            async with self._loading:
+                await owned.load()
+            logs.log_message(
+                "job claimed",
+                job=name,
+                left=len(owned.waiting),
+                total=owned.job.total,
+            )
+        await self._commit_results(owned)
+
+    async def _give_up(self, name: str, owned: ownership.OwnedJob) -> None:
+        """Leave a job that this process may no longer hold to another one.
+
+        What its items have completed is committed first.
+
+        Raises:
+            ownership.OwnershipLostError: Another process holds the claim.
+            ownership.StoreFailedError: A store call failed; call again.
+        """
+        self._cancel_runs(owned)
+        if owned.is_claimed():
+            if owned.has_uncommitted():
+                await owned.commit()
+                return
+            release = await self._store.commit(owned.build_release())
+            if isinstance(release, result.Failure):
+                raise ownership.StoreFailedError(release.failure().message)
+        logs.log_message("job given up", job=name, reason="region")
+        owned.is_stopped = True
+
     def _reload_job(self, name: str) -> None:
         """Restore a job's open state from the mirror."""
         self._jobs_by_id.pop(name, None)
@@ -438,7 +505,7 @@
         def can_use(endpoint: catalog.Endpoint) -> bool:
             return endpoint.id not in self._next_start_by_endpoint
 
-        full: set[str] = set()
+        full: set[tuple[str, frozenset[str] | None]] = set()
         too_large = sys.maxsize
         for owned, progress in waiting:
             if len(self._runs) >= MAX_RUNNING_ITEMS:
@@ -450,12 +517,15 @@
             route = self._find_route(owned, progress)
             if route is None:
                 continue
+            regions = self._regions.find_endpoint_regions(owned.job)
             service = splits.choose_service(
                 route,
                 splits.compute_draw(progress.item.id),
-                self._placement.has_endpoints,
+                functools.partial(
+                    self._placement.has_endpoints, regions=regions
+                ),
             )
-            if service in full:
+            if (service, regions) in full:
                 continue
             endpoint = scheduling.choose_endpoint(
                 self._placement,
@@ -463,10 +533,11 @@
                 service,
                 can_use=can_use,
                 avoid=progress.failed_endpoints,
+                regions=regions,
             )
             if endpoint is None:
                 if not progress.failed_endpoints:
-                    full.add(service)
+                    full.add((service, regions))
                 continue
             if not self._try_hold_request(owned, progress):
                 too_large = len(progress.item.body)
@@ -504,7 +575,9 @@
         Also returns the value that holds the first of them that can start.
         """
         owned_jobs = [
-            owned for owned in self._owned_by_id.values() if owned.is_claimed()
+            owned
+            for owned in self._owned_by_id.values()
+            if owned.is_claimed() and self._regions.may_hold(owned.job)
         ]
         owned_jobs.sort(key=lambda owned: owned.job.due)
         for owned in owned_jobs:
@@ -514,8 +587,10 @@
         return None
 
     async def _load_part(self, owned: ownership.OwnedJob, part: int) -> None:
+        regions = self._regions.find_holder_regions(owned.job)
         try:
-            await owned.load_part(part)
+            with relay_regions.restrict(regions):
+                await owned.load_part(part)
         except ownership.StoreFailedError as error:
             logs.log_message(
                 "job store call failed", job=owned.id, reason=str(error)
@@ -597,7 +672,7 @@
                 progress,
             )
             for owned in self._owned_by_id.values()
-            if owned.is_claimed()
+            if owned.is_claimed() and self._regions.may_hold(owned.job)
             for progress in owned.waiting
             if progress.is_loaded and self._can_start(progress)
         ]
--- a/eelgrassgate/batches/records.py
+++ b/eelgrassgate/batches/records.py
@@ -61,6 +61,7 @@
         kept_until: Wall-clock time in seconds after which items that have not
             ended become dead letters.
         config_version: Version of the configuration by which it was accepted.
+        region: Region of the gateway that accepted it; empty if unknown.
     """
 
     id: str
@@ -72,6 +73,7 @@
     due: _WallTime
     kept_until: _WallTime
     config_version: _Count = 0
+    region: str = ""
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -168,6 +170,12 @@
     return f"{RESULTS}{quote(job)}/{part}"
 
 
+def get_job(key: str) -> str:
+    """Return the job id in the key of a part of its items or results."""
+    quoted = key.removeprefix(ITEMS).removeprefix(RESULTS).rpartition("/")[0]
+    return urllib.parse.unquote(quoted)
+
+
 def decode_results(value: bytes) -> list[Result]:
     """Decode one part of a job's results.
 
--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+import functools
 import sys
 from typing import Final
 from typing import TypeVar
@@ -16,13 +17,16 @@
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import job_memory
+from eelgrassgate.batches import job_regions
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import stored_items
+from eelgrassgate.gateway import eligibility
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import rendezvous
 from eelgrassgate.store import base
+from eelgrassgate.store import relay_regions
 
 # Bound of each cache, a tenth of a small instance's memory. Cached values are
 # immutable in the store, so they never become stale.
@@ -114,8 +118,10 @@
         directory: registry.Directory,
         is_reachable: Callable[[str], bool],
         budget: memory_budget.Budget,
+        regions: job_regions.JobRegions | None,
     ) -> None:
         """Create a reader; see `create_reader`."""
+        self._regions = regions
         self._store = store
         self._directory = directory
         self._is_reachable = is_reachable
@@ -185,20 +191,55 @@
         a little later.
         """
         self._cache_job(job)
-        for member in self._rank_owners(job.id)[:1]:
+        for member in self._rank_owners(job.id, job)[:1]:
             target = f"{owner_api.PATH}{records.quote(job.id)}"
             announcement = msgspec.json.encode(
                 owner_api.Announcement(job, revision)
             )
             await self._query_owner(member, b"POST", target, announcement)
 
-    def _rank_owners(self, job: str) -> list[registry.Member]:
-        """Return the processes that may own a job, the most likely first."""
+    def _find_holders(self, job: records.Job | None) -> frozenset[str] | None:
+        """Return the regions whose processes may hold a job's bodies."""
+        if job is None or self._regions is None:
+            return None
+        return self._regions.find_holder_regions(job)
+
+    def _may_cache(self, job: records.Job) -> bool:
+        return self._regions is None or self._regions.may_hold(job)
+
+    def drop_disallowed(self) -> None:
+        """Drop cached items and results that this process may not hold.
+
+        To be called after each change of the configuration.
+        """
+        allowed = {
+            job.id for job in self._jobs_by_id.values() if self._may_cache(job)
+        }
+        for name in [one for one in self._results_by_job if one not in allowed]:
+            self._results_account.shrink(
+                records.count_memory(self._results_by_job.pop(name))
+            )
+        for key in list(self._values_by_key):
+            if records.get_job(key) not in allowed:
+                self._values_account.shrink(len(self._values_by_key.pop(key)))
+
+    def _rank_owners(
+        self, job: str, record: records.Job | None = None
+    ) -> list[registry.Member]:
+        """Return the processes that may own a job, the most likely first.
+
+        Args:
+            job: The job's id.
+            record: Its record if it is known; processes that may not hold the
+                job's bodies are left out then.
+        """
         members = self._directory.members_by_name
+        regions = self._find_holders(record)
         names = [
             name
             for name in self._directory.get_names(registry.Role.BATCH)
             if self._is_reachable(name)
+            and eligibility.is_region_allowed(members[name].region, regions)
         ]
         order = rendezvous.rank_members(records.quote(job), names)
         known = self._owners_by_job.get(job)
@@ -261,8 +302,9 @@
         if after < len(known):
             found = owner_api.select_page(known, after)
             return owner_api.Listing(job.total, after + len(found), found)
-        fetched = await self._fetch_results(job, after, wait_until, memory)
-        if after == len(known):
+        with relay_regions.restrict(self._find_holders(job)):
+            fetched = await self._fetch_results(job, after, wait_until, memory)
+        if after == len(known) and self._may_cache(job):
             # Positions of results never change, so they can be cached.
             self._cache_results(job.id, known, fetched)
         return fetched
@@ -297,7 +339,7 @@
         Raises:
             UnavailableError: Neither an owner nor the store responded.
         """
-        for member in self._rank_owners(job.id):
+        for member in self._rank_owners(job.id, job):
             wait_s = deadlines.compute_remaining(wait_until)
             query = urllib.parse.urlencode(
                 {
@@ -348,7 +390,7 @@
             if end > after:
                 key = records.get_results_key(job.id, part)
                 committed = _decode(
-                    records.decode_results, await self._read_value(key)
+                    records.decode_results, await self._read_value(job, key)
                 )
                 found.extend(committed[max(0, after - start) :])
                 selected = owner_api.select_page(found, 0)
@@ -368,20 +410,20 @@
         """
         if memory is not None:
             await memory.hold(job_memory.measure_read(job))
+        read = functools.partial(self._read_value, job)
         try:
-            part = 0
-            while part < job.parts:
-                found, part = await stored_items.read_group(
-                    job, part, self._read_value
-                )
-                for one in found:
-                    if one.id == item:
-                        return one.body
+            with relay_regions.restrict(self._find_holders(job)):
+                part = 0
+                while part < job.parts:
+                    found, part = await stored_items.read_group(job, part, read)
+                    for one in found:
+                        if one.id == item:
+                            return one.body
         except msgspec.MsgspecError as error:
             raise UnavailableError(f"invalid value: {error}") from error
         return None
 
-    async def _read_value(self, key: str) -> bytes:
+    async def _read_value(self, job: records.Job, key: str) -> bytes:
         cached = self._values_by_key.get(key)
         if cached is not None:
             self._values_by_key.move_to_end(key)
@@ -391,8 +433,10 @@
             logs.log_message("stored value missing", key=key)
             raise UnavailableError(f"{key} does not exist")
         size = len(record.value)
-        if key not in self._values_by_key and self._values_account.try_keep(
-            size
+        if (
+            key not in self._values_by_key
+            and self._may_cache(job)
+            and self._values_account.try_keep(size)
         ):
             self._values_by_key[key] = record.value
             while self._values_account.held_bytes > MAX_CACHE_BYTES:
@@ -427,6 +471,7 @@
     directory: registry.Directory,
     is_reachable: Callable[[str], bool],
     budget: memory_budget.Budget,
+    regions: job_regions.JobRegions | None = None,
 ) -> Reader:
     """Create a reader.
 
@@ -435,5 +480,6 @@
         directory: The registered processes.
         is_reachable: Returns whether a process can be reached from here.
         budget: The memory budget of the process.
+        regions: Where a job's items and results may be; None for everywhere.
     """
-    return Reader(store, directory, is_reachable, budget)
+    return Reader(store, directory, is_reachable, budget, regions)
--- a/eelgrassgate/batches/scheduling.py
+++ b/eelgrassgate/batches/scheduling.py
@@ -125,6 +125,7 @@
     *,
     can_use: Callable[[catalog.Endpoint], bool] = lambda endpoint: True,
     avoid: Collection[str] = (),
+    regions: frozenset[str] | None = None,
 ) -> catalog.Endpoint | None:
     """Return the least loaded and nearest endpoint with room for an item.
 
@@ -138,19 +139,18 @@
         service: The service whose endpoints are considered.
         can_use: Returns whether an item can start at an endpoint now.
         avoid: Ids of endpoints where the item has failed.
+        regions: Regions that the item may use; None for all.
     """
     best: catalog.Endpoint | None = None
     best_cost = 0.0
-    endpoints = placement.get_endpoints(service)
+    endpoints = placement.get_endpoints(service, regions)
     healthy = [
         one
         for one in endpoints
         if one.id not in avoid and not placement.is_failing(one.id)
     ]
     for endpoint in healthy or endpoints:
-        if placement.is_in_backoff(endpoint.id):
-            continue
-        if placement.compute_limit_wait(endpoint):
+        if placement.find_reason(endpoint, regions) is not None:
             continue
         used = load_table.count_in_flight(endpoint.id)
         spare = get_spare_slots(load_table, endpoint)
--- a/eelgrassgate/batches/submission.py
+++ b/eelgrassgate/batches/submission.py
@@ -61,6 +61,7 @@
     workspace: str,
     items: stored_items.Splitter,
     config_version: int,
+    region: str = "",
 ) -> SubmitResult:
     """Store a job and open it; repeating a submission is also `DONE`.
 
@@ -71,6 +72,7 @@
         workspace: The workspace that owns the job.
         items: The job's items.
         config_version: Version of the configuration that has the route.
+        region: Region of this gateway.
     """
     now = time.time()
     parts = items.finish()
@@ -84,6 +86,7 @@
         now + route.completion_s,
         now + route.retention_s,
         config_version,
+        region,
     )
     key = f"{records.JOBS}{records.quote(call.id)}"
     changes = [
--- a/eelgrassgate/gateway/batch_calls.py
+++ b/eelgrassgate/gateway/batch_calls.py
@@ -14,6 +14,7 @@
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission as admission_lib
 from eelgrassgate.batches import intake as intake_lib
+from eelgrassgate.batches import job_regions
 from eelgrassgate.batches import owner_api
 from eelgrassgate.batches import records
 from eelgrassgate.batches import results
@@ -24,6 +25,7 @@
 from eelgrassgate.http1 import downstream
 from eelgrassgate.http1 import upstream
 from eelgrassgate.store import base
+from eelgrassgate.store import relay_regions
 
 OK: Final = 200
 ACCEPTED: Final = 202
@@ -118,8 +120,10 @@
         dialect: calls.Dialect,
         batch_dialect: BatchDialect,
         admission: admission_lib.Admission,
+        regions: job_regions.JobRegions,
     ) -> None:
         """Initialize; see `create_batch_calls`."""
+        self._regions = regions
         self._admission = admission
         # Held while a large job is encoded, so that other requests are served
         # between its steps.
@@ -177,9 +181,17 @@
         if retry_delay_s is not None:
             return self._refuse(call, "store lost", retry_delay_s)
         self._intake.record_write(call.id)
-        accepted = await submission.submit(
-            self._store, call, route, workspace, splitter, config_version
-        )
+        holders = self._regions.find_submission_regions(route, workspace)
+        with relay_regions.restrict(holders):
+            accepted = await submission.submit(
+                self._store,
+                call,
+                route,
+                workspace,
+                splitter,
+                config_version,
+                self._regions.own_region,
+            )
         outcome = accepted.outcome
         if outcome is submission.Outcome.NOT_DONE and is_unconfirmed:
             # An earlier write may still take effect.
@@ -352,6 +364,7 @@
     dialect: calls.Dialect,
     batch_dialect: BatchDialect,
     admission: admission_lib.Admission,
+    regions: job_regions.JobRegions,
 ) -> BatchCalls:
     """Create a handler for the batch job API.
 
@@ -362,5 +375,8 @@
         dialect: Wire format of requests and responses.
         batch_dialect: Wire format of the batch job API.
         admission: Decides when there is memory to accept a job.
+        regions: Where a job's items may be.
     """
-    return BatchCalls(store, intake, reader, dialect, batch_dialect, admission)
+    return BatchCalls(
+        store, intake, reader, dialect, batch_dialect, admission, regions
+    )
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -10,6 +10,7 @@
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission
 from eelgrassgate.batches import intake
+from eelgrassgate.batches import job_regions
 from eelgrassgate.batches import results
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import body_admission
@@ -62,12 +63,17 @@
             node.budget,
             node.discovery.get_catalog,
         )
+        regions = job_regions.create_job_regions(
+            node.discovery.get_catalog, node.member.region
+        )
         reader = results.create_reader(
             adapters.store,
             node.directory,
             node.reports.is_directly_reachable,
             node.budget,
+            regions,
         )
+        node.discovery.subscribe_to_catalog(lambda _: reader.drop_disallowed())
         self._service = service_lib.create_service(
             node.discovery.get_catalog,
             node.discovery.config.get_age_s,
@@ -84,6 +90,7 @@
                 admission.create_admission(
                     node.budget, admission.SUBMISSION_RESERVE_BYTES
                 ),
+                regions,
             ),
             node.metrics,
             self._shutdown,
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -19,6 +19,7 @@
 from eelgrassgate.peering import loads
 from eelgrassgate.peering import registry
 from eelgrassgate.quarantine import quarantine as quarantine_lib
+from eelgrassgate.store import relay_regions
 
 # Minimum intervals between reports of changes. Traffic to other zones and
 # regions is billed, and few requests are sent to them.
@@ -290,7 +291,12 @@
             listener.handle_report(report)
 
     def get_relays(self) -> tuple[str, ...]:
-        """Return addresses of peers that relay store calls, nearest first."""
+        """Return addresses of peers that relay store calls, nearest first.
+
+        Peers outside the regions that the current task's calls are restricted
+        to are left out.
+        """
+        regions = relay_regions.get()
         members = self._directory.members_by_name
         found = [
             members[name]
@@ -298,6 +304,7 @@
             if peer.report.has_store
             and name in members
             and self.is_directly_reachable(name)
+            and (regions is None or members[name].region in regions)
         ]
         zone = self._member.zone
         found.sort(key=lambda one: (one.zone != zone, one.name))
--- a/tests/site.py
+++ b/tests/site.py
@@ -14,6 +14,7 @@
 from eelgrassgate import memory_budget
 from eelgrassgate.batches import admission
 from eelgrassgate.batches import intake
+from eelgrassgate.batches import job_regions
 from eelgrassgate.batches import results
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import body_admission
@@ -230,6 +231,7 @@
             dialect.PlatformDialect(),
             platform_batch_calls.PlatformBatchDialect(),
             self.admission,
+            job_regions.create_job_regions(make_catalog, "r1"),
         )
 
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -514,7 +514,7 @@
             site_lib.make_endpoint_limits(registry.Role.BATCH),
             draining.create_draining_endpoints(),
             "z1",
-            {"z1": "r1"},
+            {"z1": "r1", "z3": "r2"},
         )
         self.pool = upstream.create_pool(0.5)
         self.quarantine = quarantine.create_quarantine()
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -33,6 +33,7 @@
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
+from eelgrassgate.store import relay_regions
 from tests import loopback
 from tests import site as site_lib
 
@@ -320,6 +321,12 @@
                     reports_by_name["c"][0].get_relays(),
                     (members[1].relay_address,),
                 )
+                # Nor is one outside the regions of the call.
+                for region, count in (("r1", 1), ("r9", 0)):
+                    with relay_regions.restrict(frozenset({region})):
+                        self.assertEqual(
+                            len(reports_by_name["c"][0].get_relays()), count
+                        )
             tasks.cancel_scope.cancel()
 
 
