--- a/eelgrassgate/batches/job_regions.py
+++ b/eelgrassgate/batches/job_regions.py
@@ -1,11 +1,17 @@
 """Regions in which a job's items and results may be."""
 
 from collections.abc import Callable
+from typing import Final
 
 from eelgrassgate.batches import records
 from eelgrassgate.gateway import catalog as catalog_lib
 from eelgrassgate.gateway import eligibility
 
+# Bounds the memory of the regions that are kept between lookups.
+MAX_SCOPES: Final = 10_000
+# Host, path and workspace of a job.
+_Scope = tuple[str, str, str]
+
 
 class JobRegions:
     """Looks up the restriction of jobs in the configuration in force."""
@@ -16,6 +22,8 @@
         """Initialize; see `create_job_regions`."""
         self._read_catalog = read_catalog
         self._own_region = own_region
+        self._catalog = catalog_lib.EMPTY
+        self._regions_by_scope: dict[_Scope, frozenset[str] | None] = {}
 
     def find_endpoint_regions(self, job: records.Job) -> frozenset[str] | None:
         """Return the regions whose endpoints may run items; None for all.
@@ -26,10 +34,20 @@
         current = self._read_catalog()
         if not current.version or current.version < job.config_version:
             return frozenset()
-        return catalog_lib.combine_regions(
-            current.find_route(job.host, job.path),
-            current.workspaces_by_name.get(job.workspace),
-        )
+        if current is not self._catalog:
+            self._catalog = current
+            self._regions_by_scope.clear()
+        # The routes of a host are searched in order, and the owner asks for
+        # each job many times a second.
+        scope = (job.host, job.path, job.workspace)
+        if scope not in self._regions_by_scope:
+            if len(self._regions_by_scope) >= MAX_SCOPES:
+                self._regions_by_scope.clear()
+            self._regions_by_scope[scope] = catalog_lib.combine_regions(
+                current.find_route(job.host, job.path),
+                current.workspaces_by_name.get(job.workspace),
+            )
+        return self._regions_by_scope[scope]
 
     def find_holder_regions(self, job: records.Job) -> frozenset[str] | None:
         """Return the regions whose processes may hold bodies; None for all.
