Send cold endpoints no more than all processes together may

Cause: an endpoint that has just started takes few requests a second and crashes well above that rate; nothing limited what it got.

Change: a cold endpoint has the limit `cold-per-s` of its service, in addition to one that it names, in `gateway/endpoint_limits.py`. It is cold by `cold-remaining-ms` of its entry, and from a lost connection on until `cold-start-s` after it is reached again or until an entry that was written after the failure says otherwise. Reports tell peers of cold entries and of endpoints that refuse connections, not of those that only time out here, since this process alone may be cut off from them. The tokens that users of a cold limit may save up stay below `cold-slack` together; `cold-over` covers processes that disagree whether items have a part.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -153,6 +153,10 @@
     except upstream.InvalidRequestError as error:
         return Outcome.IMPOSSIBLE, str(error)
     except upstream.ExchangeError as error:
+        endpoint_limits.record_unreachable(
+            endpoint,
+            has_ended=isinstance(error.__cause__, ConnectionRefusedError),
+        )
         outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
         return outcome, str(error)
     except draining_lib.EndpointDrainingError as error:
@@ -256,9 +260,11 @@
                 progress.event_data.append(event.data)
             progress.last_event = event.id or progress.last_event
     if not progress.last_event and not progress.event_data:
-        return Outcome.BROKEN, "stream ended before the first event"
+        raise upstream.ExchangeError(
+            "stream ended before the first event", True
+        )
     if splitter.has_partial_event():
-        return Outcome.BROKEN, "stream ended within an event"
+        raise upstream.ExchangeError("stream ended within an event", True)
     return Outcome.COMPLETE, ""
 
 
--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -806,6 +806,10 @@
             self._quarantine,
             self._metrics,
         )
+        if has_ended:
+            self._placement.endpoint_limits.record_unreachable(
+                run.endpoint, has_ended=True
+            )
         if has_output:
             progress.ended_endpoints = 0
         elif has_ended:
--- a/eelgrassgate/gateway/catalog.py
+++ b/eelgrassgate/gateway/catalog.py
@@ -75,11 +75,16 @@
         name: The service's name.
         max_connections: Maximum number of connections per endpoint.
         is_engine: Whether its endpoints are inference engines.
+        cold_start_s: For how long an endpoint that has started is cold.
+        cold_per_s: Requests a second that a cold endpoint takes from all
+            processes together; 0 for no limit.
     """
 
     name: str
     max_connections: int
     is_engine: bool = False
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Workspace(msgspec.Struct, frozen=True):
@@ -107,6 +112,8 @@
         slots: Maximum number of requests that it processes concurrently.
         is_draining: Whether it accepts no new requests.
         started: Start time, which distinguishes restarts under the same id.
+        cold_remaining_s: For how long it was still cold when it wrote its
+            entry.
     """
 
     id: str
@@ -116,6 +123,7 @@
     slots: int
     is_draining: bool = False
     started: int = 0
+    cold_remaining_s: float = 0.0
 
 
 class Catalog(msgspec.Struct, frozen=True):
--- a/eelgrassgate/gateway/discovery.py
+++ b/eelgrassgate/gateway/discovery.py
@@ -112,6 +112,7 @@
             Callable[[dict[str, catalog.Endpoint]], None]
         ] = []
         self._retirement_listeners: list[Callable[[Retirement], None]] = []
+        self._entry_listeners: list[Callable[[catalog.Endpoint], None]] = []
         self.endpoints_by_id: dict[str, catalog.Endpoint] = {}
 
     def subscribe_to_catalog(
@@ -126,6 +127,12 @@
         """Call `listener` with all endpoints whenever any of them changes."""
         self._endpoints_listeners.append(listener)
 
+    def subscribe_to_entries(
+        self, listener: Callable[[catalog.Endpoint], None]
+    ) -> None:
+        """Call `listener` with each entry, also with one that is repeated."""
+        self._entry_listeners.append(listener)
+
     def subscribe_to_retirements(
         self, listener: Callable[[Retirement], None]
     ) -> None:
@@ -189,6 +196,10 @@
             )
             if found is not None:
                 self._expires_at_by_id.pop(name, None)
+                for listener in self._entry_listeners:
+                    listener(found)
+                # Counts down in each entry.
+                found = msgspec.structs.replace(found, cold_remaining_s=0.0)
                 if found != known:
                     self.endpoints_by_id[name] = found
                     is_changed = True
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining
+from eelgrassgate.gateway import eligibility
 from eelgrassgate.gateway import load_shedding
 from eelgrassgate.gateway import lost_attempts
 from eelgrassgate.gateway import metrics as metrics_lib
@@ -90,6 +91,14 @@
     """The response broke off after part of it had been forwarded."""
 
 
+class _UnusableResponseError(upstream.ExchangeError):
+    """The endpoint sent a response that can't be forwarded."""
+
+    def __init__(self, message: str) -> None:
+        """Initialize with a message."""
+        super().__init__(message, True)
+
+
 class _Progress(msgspec.Struct):
     """Progress of one call.
 
@@ -327,6 +336,15 @@
             reason = str(error)
             result = Result.LOST if error.was_sent else Result.NOT_SENT
             self._placement.record_unreachable(endpoint)
+            if not isinstance(
+                error, _UnusableResponseError | upstream.InvalidRequestError
+            ):
+                self._placement.endpoint_limits.record_unreachable(
+                    endpoint,
+                    has_ended=isinstance(
+                        error.__cause__, ConnectionRefusedError
+                    ),
+                )
             if error.was_sent:
                 run = quarantine_lib.Run(
                     call.id,
@@ -340,6 +358,10 @@
                         endpoint, run, self._quarantine, self._metrics
                     )
                 )
+                if progress.has_endpoint_ended:
+                    self._placement.endpoint_limits.record_unreachable(
+                        endpoint, has_ended=True
+                    )
         except draining.EndpointDrainingError as error:
             reason = str(error)
             result = Result.WITHDRAWN
@@ -452,9 +474,9 @@
         progress.may_have_run = True
         status = connection.head.status
         if responder.has_begun and status not in SUCCESS_STATUSES:
-            raise upstream.ExchangeError("stream was not resumed", True)
+            raise _UnusableResponseError("stream was not resumed")
         if status in SUCCESS_STATUSES and not info.is_signed:
-            raise upstream.ExchangeError("response has no checksum", True)
+            raise _UnusableResponseError("response has no checksum")
         is_stream = route.kind is catalog.Kind.STREAM
         with self._budget.open(
             memory_budget.Kind.RESPONSE, attempt.workspace
@@ -515,8 +537,8 @@
                 await self._pool.pacer.wait_turn()
             has_memory = responder.has_begun or account.try_grow(len(part))
             if size > MAX_BUFFERED_BYTES and can_retry:
-                raise upstream.ExchangeError(
-                    f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
+                raise _UnusableResponseError(
+                    f"error exceeds {MAX_BUFFERED_BYTES} bytes"
                 )
             is_large = size > MAX_BUFFERED_BYTES or not has_memory
             if is_large and not responder.has_begun:
@@ -576,7 +598,7 @@
             try:
                 complete_events = splitter.feed(part)
             except events.EventTooLargeError as error:
-                raise upstream.ExchangeError(str(error), True) from error
+                raise _UnusableResponseError(str(error)) from error
             if not complete_events:
                 continue
             progress.has_output = True
@@ -607,10 +629,22 @@
         responder: downstream.Responder,
     ) -> None:
         """Refuse a call that would wait too long; it has not run."""
+        reason = "overloaded"
+        if choice.limit_wait_s:
+            is_cold = self._placement.endpoint_limits.is_cold(
+                choice.endpoint.id
+            )
+            limit = (
+                eligibility.Reason.COLD
+                if is_cold
+                else eligibility.Reason.LIMITED
+            )
+            reason = limit.value
+            self._metrics.count_ineligible(reason)
         logs.log_message(
             "refused",
             id=call.id,
-            reason="limited" if choice.limit_wait_s else "overloaded",
+            reason=reason,
             wait_ms=round(choice.wait_s * deadlines.MS_PER_S),
             return_ms=round(retry_after_s * deadlines.MS_PER_S),
             endpoint=choice.endpoint.id,
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -164,13 +164,20 @@
             registry=self._registry,
         ).set_function(count_parts)
 
-    def observe_endpoint_limits(self, count_limited: Callable[[], int]) -> None:
-        """Show the number of endpoints that name a limit."""
+    def observe_endpoint_limits(
+        self, count_limited: Callable[[], int], count_cold: Callable[[], int]
+    ) -> None:
+        """Show the numbers of endpoints that name a limit and that are cold."""
         prometheus_client.Gauge(
             "eelgrassgate_limited_endpoints",
             "Endpoints that name a limit in their responses.",
             registry=self._registry,
         ).set_function(count_limited)
+        prometheus_client.Gauge(
+            "eelgrassgate_cold_endpoints",
+            "Endpoints that are treated as cold.",
+            registry=self._registry,
+        ).set_function(count_cold)
 
     def observe_draining(self, count_draining: Callable[[], int]) -> None:
         """Show the number of endpoints that drain."""
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -142,10 +142,16 @@
             self.member,
             self.directory.members_by_name.values,
             node_settings.region_by_zone,
+            cold_bounds=endpoint_limits.ColdBounds(
+                node_settings.cold_over, node_settings.cold_slack
+            ),
         )
         self.reports.set_limits_source(self.endpoint_limits.list_limits)
+        self.reports.set_colds_source(self.endpoint_limits.list_colds)
         self.reports.subscribe(self.endpoint_limits)
-        self.metrics.observe_endpoint_limits(self.endpoint_limits.count_limited)
+        self.metrics.observe_endpoint_limits(
+            self.endpoint_limits.count_limited, self.endpoint_limits.count_cold
+        )
         self.draining = draining_lib.create_draining_endpoints()
         self.metrics.observe_draining(self.draining.count)
         self.placement = placement_lib.create_placement(
@@ -176,6 +182,8 @@
         self.discovery = discovery_lib.create_discovery(
             adapters.store, adapters.documents, config
         )
+        config.subscribe(self.endpoint_limits.set_services)
+        self.discovery.subscribe_to_entries(self.endpoint_limits.record_entry)
         self.discovery.subscribe_to_endpoints(self.placement.set_endpoints)
 
     def _check_regions(self, current: catalog.Catalog) -> None:
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -173,6 +173,7 @@
             is_in_region=self._is_in_region(endpoint, regions),
             is_draining=self.draining.is_draining(endpoint),
             is_unhealthy=self.is_in_backoff(endpoint.id),
+            is_cold=self.endpoint_limits.is_cold(endpoint.id),
             limit_wait_s=self.compute_limit_wait(endpoint),
         )
 
--- a/eelgrassgate/gateway/settings.py
+++ b/eelgrassgate/gateway/settings.py
@@ -10,6 +10,10 @@
 DEFAULT_MEMORY_BYTES: Final = 230_000_000
 DEFAULT_FILE_DESCRIPTORS: Final = 4_000
 
+# Bounds of cold endpoints of all deployments on the platform's pages.
+DEFAULT_COLD_OVER: Final = 1.5
+DEFAULT_COLD_SLACK: Final = 5.0
+
 
 class Node(msgspec.Struct, frozen=True):
     """Settings of one process.
@@ -31,6 +35,8 @@
         memory_bytes: Resident memory beyond which the platform ends the
             process.
         file_descriptors: Number of descriptors that the process may open.
+        cold_over: Factor of the rate that a cold endpoint takes in a second.
+        cold_slack: Requests that it takes in a second in addition.
     """
 
     instance: str
@@ -46,3 +52,5 @@
     ready_address: str = ""
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     file_descriptors: int = DEFAULT_FILE_DESCRIPTORS
+    cold_over: float = DEFAULT_COLD_OVER
+    cold_slack: float = DEFAULT_COLD_SLACK
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -82,6 +82,7 @@
         quarantine: What crashes endpoints, and evidence for it.
         limits_by_endpoint: Versions and limits in requests a second of
             endpoints that name one; None for a limit that was lifted.
+        cold_by_endpoint: Versions and seconds left of endpoints that are cold.
     """
 
     name: str
@@ -102,6 +103,7 @@
     limits_by_endpoint: dict[
         str, tuple[decoding.Count, decoding.Amount | None]
     ] = {}
+    cold_by_endpoint: dict[str, tuple[decoding.Count, decoding.Amount]] = {}
 
 
 class Peer(msgspec.Struct):
@@ -160,6 +162,7 @@
         self._list_limits: Callable[[], dict[str, tuple[int, float | None]]] = (
             dict
         )
+        self._list_colds: Callable[[], dict[str, tuple[int, float]]] = dict
 
     def set_config_source(self, read: Callable[[], ConfigStatus]) -> None:
         """Set what the reports tell of this process's configuration."""
@@ -171,6 +174,12 @@
         """Set what the reports tell of the limits of endpoints."""
         self._list_limits = list_limits
 
+    def set_colds_source(
+        self, list_colds: Callable[[], dict[str, tuple[int, float]]]
+    ) -> None:
+        """Set what the reports tell of cold endpoints."""
+        self._list_colds = list_colds
+
     def get_peers(self) -> dict[registry.Member, Peer]:
         """Return the live processes that report, by their registration."""
         members = self._directory.members_by_name
@@ -487,6 +496,7 @@
             self._read_config_status(),
             self._quarantine.build_report(),
             self._list_limits(),
+            self._list_colds(),
         )
         return _ENCODER.encode(report)
 
--- a/eelgrassgate/platform/boot.py
+++ b/eelgrassgate/platform/boot.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from eelgrassgate import addresses
+from eelgrassgate import decoding
 from eelgrassgate import findings
 from eelgrassgate import memory_budget
 from eelgrassgate.gateway import settings
@@ -39,6 +40,8 @@
     grace_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_GRACE_S)] = (
         DEFAULT_GRACE_S
     )
+    cold_over: decoding.Amount = settings.DEFAULT_COLD_OVER
+    cold_slack: decoding.Amount = settings.DEFAULT_COLD_SLACK
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
@@ -165,4 +168,6 @@
         boot.listen.ready,
         int(boot.limits.memory_mb * memory_budget.BYTES_PER_MB),
         boot.limits.file_descriptors,
+        boot.bounds.cold_over,
+        boot.bounds.cold_slack,
     )
--- a/eelgrassgate/platform/documents.py
+++ b/eelgrassgate/platform/documents.py
@@ -74,6 +74,8 @@
     name: str
     max_connections: _Int64 = 0
     engine: dict[str, Any] | None = None
+    cold_start_s: decoding.Amount = 0.0
+    cold_per_s: decoding.Amount = 0.0
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="kebab"):
@@ -145,7 +147,11 @@
         catalog.group_routes_by_host([_to_route(one) for one in config.routes]),
         {
             one.name: catalog.Service(
-                one.name, one.max_connections, one.engine is not None
+                one.name,
+                one.max_connections,
+                one.engine is not None,
+                one.cold_start_s,
+                one.cold_per_s,
             )
             for one in config.services
         },
@@ -234,6 +240,7 @@
         entry.slots,
         entry.state == "draining",
         entry.born,
+        max(0.0, entry.cold_remaining_ms) / MS_PER_S,
     )
 
 
