Take an endpoint for restarting only when it can't be reached

Each broken response took away most of its endpoint's capacity for seconds, and all of it from batch items.

Cause: a response that broke off counted as a possible restart, although the check that follows it (gateway/lost_attempts.py) tells whether the endpoint still listens.

--- a/eelgrassgate/batches/items.py
+++ b/eelgrassgate/batches/items.py
@@ -153,12 +153,13 @@
     except upstream.InvalidRequestError as error:
         return Outcome.IMPOSSIBLE, str(error)
     except upstream.ExchangeError as error:
+        if error.was_sent:
+            return Outcome.BROKEN, str(error)
         endpoint_limits.record_unreachable(
             endpoint,
             has_ended=isinstance(error.__cause__, ConnectionRefusedError),
         )
-        outcome = Outcome.BROKEN if error.was_sent else Outcome.NOT_SENT
-        return outcome, str(error)
+        return Outcome.NOT_SENT, str(error)
     except draining_lib.EndpointDrainingError as error:
         return Outcome.WITHDRAWN, str(error)
     except upstream.StalledError:
@@ -260,11 +261,9 @@
                 progress.event_data.append(event.data)
             progress.last_event = event.id or progress.last_event
     if not progress.last_event and not progress.event_data:
-        raise upstream.ExchangeError(
-            "stream ended before the first event", True
-        )
+        return Outcome.BROKEN, "stream ended before the first event"
     if splitter.has_partial_event():
-        raise upstream.ExchangeError("stream ended within an event", True)
+        return Outcome.BROKEN, "stream ended within an event"
     return Outcome.COMPLETE, ""
 
 
--- a/eelgrassgate/gateway/endpoint_limits.py
+++ b/eelgrassgate/gateway/endpoint_limits.py
@@ -218,9 +218,11 @@
     def record_unreachable(
         self, endpoint: catalog.Endpoint, *, has_ended: bool = False
     ) -> None:
-        """Record that an endpoint was unreachable or broke a response off.
+        """Record that an endpoint could not be reached.
 
-        It may restart, and is treated as cold when it can be reached again.
+        It may restart, and is treated as cold when it can be reached again. A
+        response that broke off does not count: an endpoint that resets single
+        connections keeps its capacity.
 
         Args:
             endpoint: The endpoint.
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -91,14 +91,6 @@
     """The response broke off after part of it had been forwarded."""
 
 
-class _UnusableResponseError(upstream.ExchangeError):
-    """The endpoint sent a response that can't be forwarded."""
-
-    def __init__(self, message: str) -> None:
-        """Initialize with a message."""
-        super().__init__(message, True)
-
-
 class _Progress(msgspec.Struct):
     """Progress of one call.
 
@@ -336,8 +328,8 @@
             reason = str(error)
             result = Result.LOST if error.was_sent else Result.NOT_SENT
             self._placement.record_unreachable(endpoint)
-            if not isinstance(
-                error, _UnusableResponseError | upstream.InvalidRequestError
+            if result is Result.NOT_SENT and not isinstance(
+                error, upstream.InvalidRequestError
             ):
                 self._placement.endpoint_limits.record_unreachable(
                     endpoint,
@@ -474,9 +466,9 @@
         progress.may_have_run = True
         status = connection.head.status
         if responder.has_begun and status not in SUCCESS_STATUSES:
-            raise _UnusableResponseError("stream was not resumed")
+            raise upstream.ExchangeError("stream was not resumed", True)
         if status in SUCCESS_STATUSES and not info.is_signed:
-            raise _UnusableResponseError("response has no checksum")
+            raise upstream.ExchangeError("response has no checksum", True)
         is_stream = route.kind is catalog.Kind.STREAM
         with self._budget.open(
             memory_budget.Kind.RESPONSE, attempt.workspace
@@ -537,8 +529,8 @@
                 await self._pool.pacer.wait_turn()
             has_memory = responder.has_begun or account.try_grow(len(part))
             if size > MAX_BUFFERED_BYTES and can_retry:
-                raise _UnusableResponseError(
-                    f"error exceeds {MAX_BUFFERED_BYTES} bytes"
+                raise upstream.ExchangeError(
+                    f"error exceeds {MAX_BUFFERED_BYTES} bytes", True
                 )
             is_large = size > MAX_BUFFERED_BYTES or not has_memory
             if is_large and not responder.has_begun:
@@ -598,7 +590,7 @@
             try:
                 complete_events = splitter.feed(part)
             except events.EventTooLargeError as error:
-                raise _UnusableResponseError(str(error)) from error
+                raise upstream.ExchangeError(str(error), True) from error
             if not complete_events:
                 continue
             progress.has_output = True
