Count the calls of the key-value service by cause

Cause: the calls of the store are the largest cost of a site, and nothing told which prefix or role causes them.

--- a/eelgrassgate/platform/kv.py
+++ b/eelgrassgate/platform/kv.py
@@ -20,6 +20,7 @@
 from eelgrassgate import logs
 from eelgrassgate.http1 import upstream
 from eelgrassgate.store import base
+from eelgrassgate.store import causes
 from eelgrassgate.store import contact as contact_lib
 
 # Responses take 4 ms, and up to about 400 ms when the service is slow.
@@ -151,11 +152,14 @@
 
     Attributes:
         contact: Whether the service answers, directly or through a relay.
+        calls: Numbers of calls by cause; a watch counts once for each long
+            poll, as that is what is billed.
     """
 
     def __init__(self, address: str, long_poll_s: float) -> None:
         """Create a client; see `create_kv_store`."""
         self.contact = contact_lib.create_contact()
+        self.calls = causes.create_call_counts()
         self._long_poll_s = long_poll_s
         self._address = address
         self._host = address.encode()
@@ -178,6 +182,7 @@
         self, key: str
     ) -> result.Result[base.Record | None, base.StoreError]:
         """Read one key; linearizable."""
+        self.calls.count(causes.Operation.READ, key)
         target = _build_target("/kv-key", {"key": key})
         try:
             status, body = await self._call(b"GET", target, is_write=False)
@@ -193,6 +198,7 @@
         self, prefix: str, *, after: str = "", limit: int = 0
     ) -> result.Result[base.Page, base.StoreError]:
         """Read a page of keys under `prefix`; the service sets its size."""
+        self.calls.count(causes.Operation.READ, prefix)
         query = {"prefix": prefix}
         if after:
             query["after"] = after
@@ -213,6 +219,9 @@
         self, transaction: base.Transaction
     ) -> result.Result[base.Commit, base.StoreError]:
         """Apply changes if all preconditions hold."""
+        self.calls.count(
+            causes.Operation.WRITE, *(one.key for one in transaction.changes)
+        )
         body = msgspec.json.encode(_encode_transaction(transaction))
         try:
             status, response_body = await self._call(
@@ -232,6 +241,7 @@
         self, ttl_s: float
     ) -> result.Result[base.Lease, base.StoreError]:
         """Grant a lease."""
+        self.calls.count(causes.Operation.LEASE)
         body = msgspec.json.encode({"ttl-ms": int(ttl_s * MS_PER_S)})
         try:
             status, response_body = await self._call(
@@ -247,6 +257,7 @@
         self, lease: int
     ) -> result.Result[base.Lease | None, base.StoreError]:
         """Renew a lease; return None if it does not exist."""
+        self.calls.count(causes.Operation.RENEWAL)
         target = f"/kv-keep/{lease}".encode()
         try:
             status, body = await self._call(b"POST", target, is_write=True)
@@ -262,6 +273,7 @@
         self, lease: int
     ) -> result.Result[None, base.StoreError]:
         """Revoke a lease and delete the keys attached to it."""
+        self.calls.count(causes.Operation.LEASE)
         target = f"/kv-lease-end/{lease}".encode()
         try:
             status, body = await self._call(b"DELETE", target, is_write=True)
@@ -300,6 +312,7 @@
                 "after": str(after),
                 "wait-ms": str(int(long_poll_s * MS_PER_S)),
             }
+            self.calls.count(causes.Operation.WATCH, prefix)
             try:
                 status, body = await self._call(
                     b"GET",
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -15,6 +15,7 @@
 from eelgrassgate.standins import kv as kv_standin
 from eelgrassgate.standins import store as standin
 from eelgrassgate.store import base
+from eelgrassgate.store import causes
 from eelgrassgate.store import counted
 from eelgrassgate.store import etcd
 from eelgrassgate.store import faulty
@@ -391,3 +392,26 @@
         await collect(store, "a", 1, 1)
         expected = {"store_reads": 2, "store_writes": 4, "store_watches": 1}
         self.assertEqual(counter.by_name, expected)
+
+
+class CausesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_each_long_poll_is_counted_by_its_prefix(self) -> None:
+        """Guards against a watch that counts as one call, or not at all."""
+        async with open_kv() as fixture:
+            store: Any = fixture.store
+            lease = (await store.grant_lease(60.0)).unwrap().lease
+            await store.renew_lease(lease)
+            await put(store, "eelgrassgate/members/a", b"1", lease)
+            await store.read_range("eelgrassgate/members/")
+            watch = store.watch("servers/", 2)
+            async with contextlib.aclosing(watch):
+                for _ in range(3):
+                    await anext(watch)
+        expected = {
+            (causes.Operation.LEASE, "none"): 1,
+            (causes.Operation.RENEWAL, "none"): 1,
+            (causes.Operation.WRITE, "members"): 1,
+            (causes.Operation.READ, "members"): 1,
+            (causes.Operation.WATCH, "servers"): 3,
+        }
+        self.assertEqual(store.calls.by_cause, expected)
