Share the watches of endpoints and members within a region

Change: two processes of a region watch; the others get the changes of both mirrors from one of them in one long poll (peering/shared_watches.py). A mirror that no watcher confirms watches the store itself. A shared watch that does not answer in time is ended and the prefix is read again. A draining endpoint's entry is collected for 1.2 s instead of 1.5 s, as a follower must not learn of it later than before when its watcher falls silent. Evidence: tests.test_shared_watches brings about one failure each; the new tests need the new modules, so none could run before. Also run: test_peering, test_config_sync, test_supervision, test_batch_daemon, test_platform, test_starts, test_draining, test_odd_records, test_docs; all pass.

--- a/eelgrassgate/gateway/discovery.py
+++ b/eelgrassgate/gateway/discovery.py
@@ -11,6 +11,7 @@
 from eelgrassgate import logs
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import config_sync
+from eelgrassgate.peering import shared_watches
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror
 
@@ -19,8 +20,12 @@
 ENTRY_EXPIRY_GRACE_S: Final = 2.2
 # Endpoints rewrite their entries every 1.2 s and each watch response is billed,
 # so changes are batched. The delay must stay below the 3 s for which a draining
-# endpoint may still get work.
-ENDPOINTS_BATCH_DELAY_S: Final = 1.5
+# endpoint may still get work, with the time in which processes that follow this
+# one learn that it is silent.
+ENDPOINTS_BATCH_DELAY_S: Final = 1.2
+# Longest wait of the watch for a change. Each answer confirms the endpoints for
+# this process and those that follow it.
+ENDPOINTS_MAX_WAIT_S: Final = 1.25
 RETIREMENTS_BATCH_DELAY_S: Final = 0.1
 EXPIRY_CHECK_INTERVAL_S: Final = 0.2
 # A starting process loads the configuration and the endpoints within 0.3 s;
@@ -88,6 +93,7 @@
         store: base.Store,
         documents: Documents,
         config: config_sync.ConfigSync,
+        shared: shared_watches.SharedWatches | None,
     ) -> None:
         """Initialize without a configuration; see `create_discovery`."""
         self._documents = documents
@@ -101,7 +107,11 @@
             store,
             documents.endpoints_prefix,
             batch_delay_s=ENDPOINTS_BATCH_DELAY_S,
+            max_wait_s=ENDPOINTS_MAX_WAIT_S,
+            sharing=shared,
         )
+        if shared is not None:
+            shared.add(self._endpoints)
         self.config.subscribe(lambda _: self._signal_if_loaded())
         self._retirements.subscribe(self._apply_retirements)
         self._endpoints.subscribe(self._apply_endpoints)
@@ -252,6 +262,7 @@
     store: base.Store,
     documents: Documents,
     config: config_sync.ConfigSync | None = None,
+    shared: shared_watches.SharedWatches | None = None,
 ) -> Discovery:
     """Create the discovery of configuration and endpoints.
 
@@ -259,9 +270,10 @@
         store: The store.
         documents: Store keys and decoders.
         config: The configuration; by default it only follows the store.
+        shared: The watches shared with peers; by default there are none.
     """
     if config is None:
         config = config_sync.create_config_sync(
             store, documents.config_key, documents.decode_config
         )
-    return Discovery(store, documents, config)
+    return Discovery(store, documents, config, shared)
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -29,6 +29,7 @@
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import relay
 from eelgrassgate.peering import reports as reports_lib
+from eelgrassgate.peering import shared_watches
 from eelgrassgate.quarantine import quarantine
 from eelgrassgate.quarantine import storage
 from eelgrassgate.store import base
@@ -45,6 +46,11 @@
 MS_PER_S = 1000.0
 # Changes of members reach the other processes within half a second.
 MEMBERS_BATCH_DELAY_S = 0.3
+# Longest wait of the watch for a change. Each answer confirms the members for
+# this process and those that follow it. Members change rarely, and a process
+# that has ended is known from its reports, so a silent watch matters less than
+# for endpoints.
+MEMBERS_MAX_WAIT_S = 4.0
 
 
 class RelayedStore(base.Store, Protocol):
@@ -102,11 +108,17 @@
             node_settings.relay_address,
             time.time_ns() + os.getpid(),
         )
+        self.shared_watches = shared_watches.create_shared_watches(
+            self.member, self, adapters.store.is_directly_reachable
+        )
         self._members = mirror.create_mirror(
             adapters.store,
             registry.MEMBERS_PREFIX,
             batch_delay_s=MEMBERS_BATCH_DELAY_S,
+            max_wait_s=MEMBERS_MAX_WAIT_S,
+            sharing=self.shared_watches,
         )
+        self.shared_watches.add(self._members)
         self.directory = registry.create_directory(self._members)
         self.registration = registry.create_registration(
             adapters.store, self.member
@@ -170,11 +182,16 @@
         self.reports.set_config_source(config.get_status)
         self.reports.subscribe(config)
         self.relay.config_handler = config.handle
+        self.relay.mirrors_handler = self.shared_watches.handle
         self.discovery = discovery_lib.create_discovery(
-            adapters.store, adapters.documents, config
+            adapters.store, adapters.documents, config, self.shared_watches
         )
         self.discovery.subscribe_to_endpoints(self.placement.set_endpoints)
 
+    def get_peers(self) -> dict[registry.Member, reports_lib.Peer]:
+        """Return the live processes that report, by their registration."""
+        return self.reports.get_peers()
+
     def _is_in_same_zone(self, name: str) -> bool:
         member = self.directory.members_by_name.get(name)
         return member is not None and member.zone == self.member.zone
@@ -191,6 +208,7 @@
             start = functools.partial(self.supervisor.start, tasks)
             start("discovery", self.discovery.run, is_needed=True)
             start("members", self._members.run)
+            start("shared watches", self.shared_watches.run)
             start("registration", self.registration.run)
             start("quarantine", self._quarantine_storage.run)
             start("reports", self.reports.run, give_up_at)
@@ -214,6 +232,7 @@
                 )
             await self.pool.sweep()
             await self.discovery.config.sweep()
+            await self.shared_watches.sweep()
 
 
 def create_node(
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -1,8 +1,8 @@
 """HTTP server for calls from peers.
 
 Store calls are relayed for processes that can't reach the store directly; calls
-about the configuration, and about jobs if this process owns any, are handled
-here.
+about the configuration and shared mirrors, and about jobs if this process owns
+any, are handled here.
 """
 
 from typing import Final
@@ -33,6 +33,7 @@
 MEMORY_WAIT_S: Final = 1.0
 JOBS_PATH: Final = b"/jobs/"
 CONFIG_PATH: Final = b"/config"
+MIRRORS_PATH: Final = b"/mirrors"
 _CONNECTION_HEADERS: Final = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length"}
 )
@@ -44,6 +45,7 @@
     Attributes:
         job_handler: Handles calls about jobs; None if this process owns none.
         config_handler: Handles calls for the configuration.
+        mirrors_handler: Handles polls of shared mirrors.
     """
 
     def __init__(self, address: str, budget: memory_budget.Budget) -> None:
@@ -52,6 +54,7 @@
         self._address = address
         self.job_handler: downstream.Handler | None = None
         self.config_handler: downstream.Handler | None = None
+        self.mirrors_handler: downstream.Handler | None = None
         self._pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self._listener = downstream.Listener(
             downstream.Limits, self._handle, lambda: False
@@ -76,10 +79,12 @@
         incoming: downstream.IncomingRequest,
         responder: downstream.Responder,
     ) -> None:
-        if incoming.target.startswith((JOBS_PATH, CONFIG_PATH)):
+        if incoming.target.startswith((JOBS_PATH, CONFIG_PATH, MIRRORS_PATH)):
             handler = self.job_handler
             if incoming.target == CONFIG_PATH:
                 handler = self.config_handler
+            elif incoming.target == MIRRORS_PATH:
+                handler = self.mirrors_handler
             if handler is None:
                 await responder.reply(NOT_FOUND)
             else:
--- /dev/null
+++ b/tests/test_shared_watches.py
@@ -0,0 +1,389 @@
+"""Mirrors that follow those of the watchers of their region."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import Any
+from typing import Final
+import unittest
+
+import anyio
+import msgspec
+
+from eelgrassgate import deadlines
+from eelgrassgate.gateway import discovery
+from eelgrassgate.gateway import node as node_lib
+from eelgrassgate.http1 import downstream
+from eelgrassgate.peering import shared_watches
+from eelgrassgate.platform import documents
+from eelgrassgate.store import base
+from eelgrassgate.store import memory
+from eelgrassgate.store import mirror
+from tests import test_config_sync
+
+TIMEOUT_S: Final = 15.0
+# A draining endpoint gets no new request from this time on.
+MAX_DRAIN_S: Final = 3.0
+NODES: Final = 5
+PREFIX: Final = documents.ENDPOINT_PREFIX
+
+
+class Fleet:
+    """Nodes of one region that can be ended one by one."""
+
+    def __init__(self, tasks: Any) -> None:
+        self._tasks = tasks
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self.backend = memory.create_memory_store()
+        self.stores: list[Any] = []
+        self.nodes: list[node_lib.Node] = []
+
+    def start(self) -> None:
+        """Start nodes, in place of those that were ended."""
+        self.stores = [
+            test_config_sync.make_store(self.backend) for _ in range(NODES)
+        ]
+        self.nodes = test_config_sync.make_nodes(
+            [("z1", one) for one in self.stores]
+        )
+        for one in self.nodes:
+            self._tasks.start_soon(self._run, one)
+
+    async def _run(self, node: node_lib.Node) -> None:
+        with anyio.CancelScope() as scope:
+            self._scopes[node.member.name] = scope
+            await node.run()
+
+    def end(self, node: node_lib.Node) -> None:
+        self._scopes[node.member.name].cancel()
+        self.nodes.remove(node)
+
+    async def wait_until_settled(self) -> None:
+        """Wait until all but the watchers follow them."""
+        with anyio.fail_after(TIMEOUT_S):
+            while len(self.list_watchers()) > 2:
+                await anyio.sleep(0.02)
+
+    def list_watchers(self) -> list[node_lib.Node]:
+        return [
+            one
+            for one in self.nodes
+            if one.shared_watches.count_following() < 2
+        ]
+
+    def list_watchers_stores(self) -> list[Any]:
+        found = self.list_watchers()
+        return [
+            store
+            for node, store in zip(self.nodes, self.stores, strict=True)
+            if node in found
+        ]
+
+    async def write(self, name: str, state: str) -> None:
+        entry = {
+            "service": "engine",
+            "address": "127.0.0.1:9",
+            "zone": "z1",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+            "sequence": 1,
+            "cold-remaining-ms": 0,
+            "version": "1",
+        }
+        change = base.Write(f"{PREFIX}{name}", msgspec.json.encode(entry))
+        await self.commit(change)
+
+    async def commit(self, change: base.Write | base.Delete) -> None:
+        (await self.backend.commit(base.Transaction((), (change,)))).unwrap()
+
+    def count_not(self, is_met: Callable[[discovery.Discovery], bool]) -> int:
+        return sum(not is_met(one.discovery) for one in self.nodes)
+
+
+@contextlib.asynccontextmanager
+async def run_fleet() -> AsyncIterator[Fleet]:
+    async with anyio.create_task_group() as tasks:
+        fleet = Fleet(tasks)
+        await test_config_sync.write_config(fleet.backend, 1)
+        await fleet.write("e", "ready")
+        fleet.start()
+        await fleet.wait_until_settled()
+        yield fleet
+        tasks.cancel_scope.cancel()
+
+
+def is_draining(found: discovery.Discovery) -> bool:
+    return (
+        "e" in found.endpoints_by_id and found.endpoints_by_id["e"].is_draining
+    )
+
+
+def reply_with(node: node_lib.Node, status: int, body: bytes) -> None:
+    async def handle(
+        incoming: downstream.IncomingRequest, responder: downstream.Responder
+    ) -> None:
+        await responder.reply(status, (), body)
+
+    node.relay.mirrors_handler = handle
+
+
+def freeze(node: node_lib.Node) -> None:
+    async def handle(
+        incoming: downstream.IncomingRequest, responder: downstream.Responder
+    ) -> None:
+        await anyio.sleep_forever()
+
+    node.relay.mirrors_handler = handle
+
+
+async def do_nothing(fleet: Fleet) -> None:
+    pass
+
+
+async def freeze_one(fleet: Fleet) -> None:
+    freeze(fleet.list_watchers()[0])
+
+
+async def freeze_both(fleet: Fleet) -> None:
+    for one in fleet.list_watchers():
+        freeze(one)
+
+
+async def silence_one(fleet: Fleet) -> None:
+    fleet.list_watchers_stores()[0].faults.is_watch_silent = True
+
+
+async def cut_store_of_one(fleet: Fleet) -> None:
+    fleet.list_watchers_stores()[0].faults.is_down = True
+
+
+async def end_one(fleet: Fleet) -> None:
+    fleet.end(fleet.list_watchers()[0])
+
+
+async def end_both(fleet: Fleet) -> None:
+    for one in fleet.list_watchers():
+        fleet.end(one)
+
+
+async def lose_history(fleet: Fleet) -> None:
+    """Compact the store while the watchers don't read it."""
+    stores = fleet.list_watchers_stores()
+    for one in stores:
+        one.faults.delay_s = 0.5
+    for _ in range(50):
+        await fleet.write("other", "ready")
+    fleet.backend.compact(fleet.backend._revision)
+    for one in stores:
+        one.faults.delay_s = 0.0
+
+
+async def answer_garbage(fleet: Fleet) -> None:
+    for one in fleet.list_watchers():
+        reply_with(one, 200, b"\x93\x01")
+
+
+async def answer_too_much(fleet: Fleet) -> None:
+    size = shared_watches.MAX_RESPONSE_BYTES + 1
+    for one in fleet.list_watchers():
+        reply_with(one, 200, b"\x00" * size)
+
+
+async def answer_not_found(fleet: Fleet) -> None:
+    """Answer as a version without shared watches does."""
+    for one in fleet.list_watchers():
+        reply_with(one, 404, b"")
+
+
+async def restart_all(fleet: Fleet) -> None:
+    for one in list(fleet.nodes):
+        fleet.end(one)
+    fleet.start()
+
+
+FAULTS: Final[tuple[tuple[str, Callable[[Fleet], Awaitable[None]]], ...]] = (
+    ("no fault", do_nothing),
+    ("a watcher is frozen", freeze_one),
+    ("both watchers are frozen", freeze_both),
+    ("a watcher lags, as its watch is silent", silence_one),
+    ("the store is away for a watcher only", cut_store_of_one),
+    ("a watcher is gone", end_one),
+    ("both watchers are gone", end_both),
+    ("the history is lost", lose_history),
+    ("answers are malformed", answer_garbage),
+    ("answers are too large", answer_too_much),
+    ("watchers know no shared watches", answer_not_found),
+    ("all are restarted", restart_all),
+)
+
+
+class FaultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_drain_reaches_all_processes_in_time(self) -> None:
+        """Guards against a process that waits for a watcher that fails."""
+        for name, inject in FAULTS:
+            with self.subTest(name):
+                late = await self._measure_late(inject)
+                self.assertEqual(late, 0)
+
+    async def _measure_late(
+        self, inject: Callable[[Fleet], Awaitable[None]]
+    ) -> int:
+        """Return how many processes learn too late that an endpoint drains."""
+        async with run_fleet() as fleet:
+            # At another phase of the watches.
+            await anyio.sleep(0.3)
+            await inject(fleet)
+            await fleet.write("e", "draining")
+            until = deadlines.after(MAX_DRAIN_S)
+            while fleet.count_not(is_draining):
+                if deadlines.is_past(until):
+                    break
+                await anyio.sleep(0.02)
+            return fleet.count_not(is_draining)
+
+    async def test_silent_watchers_are_not_followed(self) -> None:
+        """Guards against trust in watches that the store does not answer."""
+        async with run_fleet() as fleet:
+            silent = fleet.list_watchers()
+            for one in fleet.list_watchers_stores():
+                one.faults.is_watch_silent = True
+            await anyio.sleep(4.5)
+            followers = [one for one in fleet.nodes if one not in silent]
+            for state in ("draining", "ready"):
+                await fleet.write("e", state)
+                await anyio.sleep(MAX_DRAIN_S - 1.0)
+                for one in followers:
+                    found = one.discovery.endpoints_by_id["e"]
+                    self.assertEqual(found.is_draining, state == "draining")
+
+    async def test_only_watchers_watch_the_store(self) -> None:
+        """Guards against watches whose number grows with the fleet."""
+        async with run_fleet() as fleet:
+            await anyio.sleep(1.5)
+            followers = [
+                store
+                for node, store in zip(fleet.nodes, fleet.stores, strict=True)
+                if node.shared_watches.count_following()
+            ]
+            self.assertEqual(len(followers), NODES - 2)
+            reads = [one.counts.reads for one in followers]
+            watches = [one.counts.watches_opened for one in followers]
+            await anyio.sleep(5.0)
+            self.assertEqual(reads, [one.counts.reads for one in followers])
+            self.assertEqual(
+                watches, [one.counts.watches_opened for one in followers]
+            )
+
+    async def test_entries_that_expired_in_an_outage(self) -> None:
+        """Guards against the loss of endpoints whose entry is back in time.
+
+        One that is still missing then must go.
+        """
+        async with run_fleet() as fleet:
+            await fleet.write("lost", "ready")
+            await anyio.sleep(2.0)
+            for one in fleet.stores:
+                one.faults.is_down = True
+            for name in ("e", "lost"):
+                await fleet.commit(base.Delete(f"{PREFIX}{name}"))
+            await anyio.sleep(4.5)
+            for one in fleet.stores:
+                one.faults.is_down = False
+            returned_at = deadlines.now()
+            missing = 0
+            while not deadlines.is_past(returned_at + 5.0):
+                if deadlines.is_past(returned_at + 1.5):
+                    await fleet.write("e", "ready")
+                missing += fleet.count_not(
+                    lambda one: "e" in one.endpoints_by_id
+                )
+                await anyio.sleep(0.05)
+            self.assertEqual(missing, 0)
+            kept = fleet.count_not(
+                lambda one: "lost" not in one.endpoints_by_id
+            )
+            self.assertEqual(kept, 0)
+
+
+def make_update(
+    changes: tuple[base.Change, ...],
+    revision: int,
+    *,
+    is_complete: bool = False,
+    settled: int | None = None,
+    is_connected: bool = True,
+) -> mirror.Update:
+    return mirror.Update(
+        changes,
+        is_complete,
+        revision,
+        max((one.revision for one in changes), default=0),
+        revision if settled is None else settled,
+        is_connected,
+        0.0,
+        deadlines.now(),
+    )
+
+
+class UpdateTest(unittest.IsolatedAsyncioTestCase):
+    """A mirror that has "a" and "b" of 2 and 4; "c" was deleted at 5."""
+
+    async def asyncSetUp(self) -> None:
+        self.mirror = mirror.create_mirror(memory.create_memory_store(), "")
+        self.mirror.apply_update(
+            make_update(
+                (
+                    base.Change("a", b"2", 2),
+                    base.Change("b", b"4", 4),
+                    base.Change("c", None, 5),
+                ),
+                6,
+            )
+        )
+
+    async def test_state_never_goes_backwards(self) -> None:
+        a, b = base.Change("a", b"2", 2), base.Change("b", b"4", 4)
+        old_b, old_c = base.Change("b", b"1", 1), base.Change("c", b"3", 3)
+        new_c = base.Change("c", b"7", 7)
+        for name, update, expected in (
+            ("older", make_update((), 4, is_complete=True), "ab"),
+            ("a newer value is known", make_update((a, old_b), 9), "ab"),
+            ("the deletion is known", make_update((old_c,), 9), "ab"),
+            ("set after the deletion", make_update((new_c,), 9), "abc"),
+            ("deleted", make_update((a,), 9, is_complete=True), "a"),
+            (
+                "set after what is settled",
+                make_update((a,), 9, is_complete=True, settled=3),
+                "ab",
+            ),
+            (
+                "not connected",
+                make_update((a,), 9, is_complete=True, is_connected=False),
+                "ab",
+            ),
+            ("equal", make_update((a, b), 9, is_complete=True), "ab"),
+        ):
+            with self.subTest(name):
+                await self.asyncSetUp()
+                self.mirror.apply_update(update)
+                found = self.mirror.records_by_key
+                self.assertEqual("".join(sorted(found)), expected)
+                if "b" in found:
+                    self.assertEqual(found["b"].value, b"4")
+
+    async def test_changes_since_a_version(self) -> None:
+        """Guards against changes that a follower misses."""
+        version = self.mirror.version
+        changes = tuple(
+            base.Change(key, None, 10)
+            for key in map(str, range(mirror.MAX_KEPT_DELETIONS + 1))
+        )
+        self.assertEqual(self.mirror.list_changes(version), ())
+        found = self.mirror.list_changes(0)
+        assert found is not None
+        self.assertEqual({one.key for one in found}, set("abc"))
+        self.mirror.apply_update(make_update(changes, 10))
+        self.assertIsNone(self.mirror.list_changes(version))
+        self.assertEqual(len(self.mirror.list_all()), 2)
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -31,6 +31,7 @@
 NODE_TASKS: Final[dict[str, Callable[[node_lib.Node], Any]]] = {
     "discovery": lambda node: node.discovery,
     "members": lambda node: node._members,
+    "shared watches": lambda node: node.shared_watches,
     "registration": lambda node: node.registration,
     "quarantine": lambda node: node._quarantine_storage,
     "reports": lambda node: node.reports,
