Show store calls by cause and the age of shared mirrors

Cause: an operator could not tell which prefix the calls of the store are for, which processes watch, and whether a mirror is current.

--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -5,15 +5,20 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 import functools
 from typing import Final
 
 import anyio
 import prometheus_client
+from prometheus_client import metrics_core
+from prometheus_client import registry as registry_lib
 
 from eelgrassgate import deadlines
 from eelgrassgate import memory_budget
 from eelgrassgate.http1 import downstream
+from eelgrassgate.store import causes
 
 # Histogram buckets in seconds: latency objectives of online requests are
 # between 0.1 and 0.5 s, jobs take up to a minute.
@@ -25,6 +30,27 @@
 _TEXT_HEADERS: Final = ((b"content-type", b"text/plain; version=0.0.4"),)
 
 
+class _StoreCallsCollector(registry_lib.Collector):
+    """Collects the numbers of calls of the store."""
+
+    def __init__(
+        self, calls_by_cause: Mapping[tuple[causes.Operation, str], int]
+    ) -> None:
+        """Collect `calls_by_cause`."""
+        self._calls_by_cause = calls_by_cause
+
+    def collect(self) -> Iterable[metrics_core.Metric]:
+        """Return the numbers."""
+        found = metrics_core.CounterMetricFamily(
+            "eelgrassgate_store_calls",
+            "Calls of the store by operation and part of the key space.",
+            labels=("operation", "part"),
+        )
+        for (operation, part), count in self._calls_by_cause.items():
+            found.add_metric((operation.value, part), count)
+        return (found,)
+
+
 class Metrics:
     """The metrics of one process."""
 
@@ -150,6 +176,32 @@
             registry=self._registry,
         ).set_function(read_silence_s)
 
+    def observe_store_calls(
+        self, calls_by_cause: Mapping[tuple[causes.Operation, str], int]
+    ) -> None:
+        """Show the numbers of calls of the store by cause."""
+        self._registry.register(_StoreCallsCollector(calls_by_cause))
+
+    def observe_mirrors(
+        self,
+        count_following: Callable[[], int],
+        get_age_s_by_prefix: Mapping[str, Callable[[], float]],
+    ) -> None:
+        """Show how many shared mirrors follow a peer, and the ages of all."""
+        prometheus_client.Gauge(
+            "eelgrassgate_followed_mirrors",
+            "Shared mirrors that get their changes from a peer.",
+            registry=self._registry,
+        ).set_function(count_following)
+        age = prometheus_client.Gauge(
+            "eelgrassgate_mirror_age_seconds",
+            "Seconds since the store confirmed the records of a shared mirror.",
+            ("prefix",),
+            registry=self._registry,
+        )
+        for prefix, get_age_s in get_age_s_by_prefix.items():
+            age.labels(prefix).set_function(get_age_s)
+
     def observe_quarantine(self, count_parts: Callable[[], int]) -> None:
         """Show the number of quarantined prompt parts and requests."""
         prometheus_client.Gauge(
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -33,6 +33,7 @@
 from eelgrassgate.quarantine import quarantine
 from eelgrassgate.quarantine import storage
 from eelgrassgate.store import base
+from eelgrassgate.store import causes
 from eelgrassgate.store import contact as contact_lib
 from eelgrassgate.store import mirror
 
@@ -58,9 +59,11 @@
 
     Attributes:
         contact: Whether the store answers, directly or through a relay.
+        calls: Numbers of calls by cause.
     """
 
     contact: contact_lib.Contact
+    calls: causes.CallCounts
 
     def is_directly_reachable(self) -> bool:
         """Return whether the store responds to direct calls."""
@@ -187,6 +190,11 @@
             adapters.store, adapters.documents, config, self.shared_watches
         )
         self.discovery.subscribe_to_endpoints(self.placement.set_endpoints)
+        self.metrics.observe_store_calls(adapters.store.calls.by_cause)
+        self.metrics.observe_mirrors(
+            self.shared_watches.count_following,
+            self.shared_watches.list_ages_s(),
+        )
 
     def get_peers(self) -> dict[registry.Member, reports_lib.Peer]:
         """Return the live processes that report, by their registration."""
--- a/eelgrassgate/peering/shared_watches.py
+++ b/eelgrassgate/peering/shared_watches.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import functools
 from typing import Final
 from typing import Protocol
 import zlib
@@ -167,11 +168,10 @@
         """Return how many mirrors follow a peer."""
         return len(self._following)
 
-    def get_ages_s(self) -> dict[str, float]:
-        """Return the seconds since the store confirmed each mirror."""
-        now = deadlines.now()
+    def list_ages_s(self) -> dict[str, Callable[[], float]]:
+        """Return for each mirror how to get its confirmation's age."""
         return {
-            prefix: now - one.confirmed_at
+            prefix: functools.partial(_compute_age_s, one)
             for prefix, one in self._mirrors_by_prefix.items()
         }
 
@@ -213,7 +213,7 @@
                 await anyio.sleep(ROLE_CHECK_INTERVAL_S)
         finally:
             del self._following[mirror.prefix]
-        age_s = deadlines.now() - mirror.confirmed_at
+        age_s = _compute_age_s(mirror)
         logs.log_message(
             "mirror:watching",
             prefix=mirror.prefix,
@@ -435,6 +435,10 @@
         await self._pool.sweep()
 
 
+def _compute_age_s(mirror: mirror_lib.Mirror) -> float:
+    return deadlines.now() - mirror.confirmed_at
+
+
 def compute_max_age_s(mirror: mirror_lib.Mirror) -> float:
     """Return the age of a confirmation beyond which it doesn't count."""
     return (mirror.max_wait_s or 0.0) + mirror_lib.WATCH_MARGIN_S
--- a/tests/test_batch_daemon.py
+++ b/tests/test_batch_daemon.py
@@ -19,6 +19,7 @@
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
 from eelgrassgate.store import base
+from eelgrassgate.store import causes
 from eelgrassgate.store import contact
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
@@ -36,6 +37,7 @@
     """A store that every process reaches directly, without relays."""
 
     contact = contact.create_contact()
+    calls = causes.create_call_counts()
 
     def is_directly_reachable(self) -> bool:
         return True
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -24,6 +24,7 @@
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
 from eelgrassgate.store import base
+from eelgrassgate.store import causes
 from eelgrassgate.store import contact
 from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
@@ -54,6 +55,7 @@
 
     link: _Link | None = None
     contact = contact.create_contact()
+    calls = causes.create_call_counts()
 
     def is_directly_reachable(self) -> bool:
         return not self.faults.is_down
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -13,11 +13,13 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate.gateway import discovery
+from eelgrassgate.gateway import metrics as metrics_lib
 from eelgrassgate.gateway import node as node_lib
 from eelgrassgate.http1 import downstream
 from eelgrassgate.peering import shared_watches
 from eelgrassgate.platform import documents
 from eelgrassgate.store import base
+from eelgrassgate.store import causes
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
 from tests import test_config_sync
@@ -219,6 +221,23 @@
 )
 
 
+class MetricsTest(unittest.TestCase):
+    def test_calls_and_ages_are_shown(self) -> None:
+        """Guards against a cost or a late mirror that nothing shows."""
+        metrics = metrics_lib.create_metrics()
+        calls = causes.create_call_counts()
+        metrics.observe_store_calls(calls.by_cause)
+        metrics.observe_mirrors(lambda: 2, {PREFIX: lambda: 1.5})
+        calls.count(causes.Operation.WATCH, PREFIX)
+        text = metrics.render().decode()
+        for line in (
+            'store_calls_total{operation="watch",part="servers"} 1.0',
+            "eelgrassgate_followed_mirrors 2.0",
+            'eelgrassgate_mirror_age_seconds{prefix="servers/"} 1.5',
+        ):
+            self.assertIn(line, text)
+
+
 class FaultTest(unittest.IsolatedAsyncioTestCase):
     async def test_drain_reaches_all_processes_in_time(self) -> None:
         """Guards against a process that waits for a watcher that fails."""
