Select the watchers of the configuration with the shared function

Cause: config_sync and the shared watches select watchers by the same rule. Change: config_sync uses peering/watchers.py; its behavior is the same. The tests name the constants where they are now; no check changed. Evidence: tests.test_config_sync passes.

--- a/eelgrassgate/gateway/config_sync.py
+++ b/eelgrassgate/gateway/config_sync.py
@@ -18,7 +18,6 @@
 import anyio
 import msgspec
 from returns import result
-import xxhash
 
 from eelgrassgate import deadlines
 from eelgrassgate import hedging
@@ -29,19 +28,14 @@
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import relay
 from eelgrassgate.peering import reports
+from eelgrassgate.peering import watchers
 from eelgrassgate.store import base
 
-# Two, so that a change still arrives at once while one of them is restarted.
-WATCHERS_PER_REGION: Final = 2
 # Longest wait of a watch for a change. Each answer confirms the configuration.
 MAX_WATCH_WAIT_S: Final = 1.25
 # A process whose configuration has not been confirmed for this long watches the
 # store itself. Covers one watch and the interval of two reports.
 MAX_CONFIRMATION_AGE_S: Final = 2.0
-# Added for each process of the region that does so before this one, as their
-# watches may confirm the configuration of all others.
-TAKEOVER_INTERVAL_S: Final = 0.25
-MAX_TAKEOVER_DELAY_S: Final = 2.0
 # Allowance for the time that a report travels, 30 ms between regions.
 REPORT_TRANSIT_S: Final = 0.1
 # A watch starts at a confirmed revision only while the store surely keeps the
@@ -166,19 +160,12 @@
         """
         if not self.catalog.version or self._own is None:
             return True
-        own_rank = _hash_name(self._own.name)
-        peers = [
-            peer
-            for member, peer in self._peers.get_peers().items()
-            if member.region == self._own.region
-            and _hash_name(member.name) < own_rank
-        ]
-        if self._has_store():
-            ahead = sum(one.report.has_store for one in peers)
-            if ahead < WATCHERS_PER_REGION:
-                return True
-        delay_s = min(MAX_TAKEOVER_DELAY_S, TAKEOVER_INTERVAL_S * len(peers))
-        return self.get_age_s() > MAX_CONFIRMATION_AGE_S + delay_s
+        turn = watchers.compute_turn(
+            self._own, self._peers.get_peers(), self._has_store()
+        )
+        if turn.is_selected:
+            return True
+        return self.get_age_s() > MAX_CONFIRMATION_AGE_S + turn.takeover_delay_s
 
     async def run(self) -> None:
         """Keep the configuration current until cancelled."""
@@ -401,10 +388,6 @@
         await self._pool.sweep()
 
 
-def _hash_name(name: str) -> int:
-    return int(xxhash.xxh32_intdigest(name.encode()))
-
-
 def _decompress(data: bytes) -> bytes:
     """Decompress a configuration.
 
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -20,6 +20,7 @@
 from eelgrassgate.gateway import settings
 from eelgrassgate.peering import registry
 from eelgrassgate.peering import reports
+from eelgrassgate.peering import watchers
 from eelgrassgate.platform import batch_calls
 from eelgrassgate.platform import dialect
 from eelgrassgate.platform import documents
@@ -225,14 +226,14 @@
         nodes = make_nodes([("z1", store) for store in stores])
         await write_config(backend, 1)
         async with run_nodes(nodes):
-            watchers = [one.discovery.config.is_watcher() for one in nodes]
-            for one, store in zip(watchers, stores, strict=True):
+            is_watcher = [one.discovery.config.is_watcher() for one in nodes]
+            for one, store in zip(is_watcher, stores, strict=True):
                 store.faults.is_watch_silent = one
             # The watchers don't notice that nothing reaches them.
             await anyio.sleep(config_sync.MAX_CONFIRMATION_AGE_S + 0.5)
             await write_config(backend, 2)
             late = await wait_for_version(nodes, 2, MAX_DELAY_S)
-        self.assertEqual(sum(watchers), config_sync.WATCHERS_PER_REGION)
+        self.assertEqual(sum(is_watcher), watchers.WATCHERS_PER_REGION)
         self.assertEqual(late, [])
 
 
@@ -291,14 +292,12 @@
         return sync
 
     async def test_watchers(self) -> None:
-        own_rank = config_sync._hash_name("own")
+        own_rank = watchers.hash_name("own")
         pool = [f"peer-{number}" for number in range(64)]
-        ahead = [one for one in pool if config_sync._hash_name(one) < own_rank][
-            : config_sync.WATCHERS_PER_REGION
+        ahead = [one for one in pool if watchers.hash_name(one) < own_rank][
+            : watchers.WATCHERS_PER_REGION
         ]
-        behind = [
-            one for one in pool if config_sync._hash_name(one) > own_rank
-        ][:1]
+        behind = [one for one in pool if watchers.hash_name(one) > own_rank][:1]
         self.assertEqual((len(ahead), len(behind)), (2, 1))
         fresh = reports.ConfigStatus(5, 7, 0.5)
         for name, members, has_store, is_watcher in (
@@ -342,9 +341,9 @@
 
     async def test_all_processes_take_over_at_once(self) -> None:
         """Changes for all at once would fill the link between regions."""
-        own_rank = config_sync._hash_name("own")
+        own_rank = watchers.hash_name("own")
         pool = [f"peer-{number}" for number in range(64)]
-        ahead = [one for one in pool if config_sync._hash_name(one) < own_rank]
+        ahead = [one for one in pool if watchers.hash_name(one) < own_rank]
         for count in (0, 1, 2, 3, len(ahead)):
             peers = _FakePeers(
                 {
@@ -354,11 +353,11 @@
             )
             sync = await self.load(peers)
             turn_s = config_sync.MAX_CONFIRMATION_AGE_S + min(
-                config_sync.MAX_TAKEOVER_DELAY_S,
-                count * config_sync.TAKEOVER_INTERVAL_S,
+                watchers.MAX_TAKEOVER_DELAY_S,
+                count * watchers.TAKEOVER_INTERVAL_S,
             )
             for age_s, is_watcher in (
-                (turn_s - 0.1, count < config_sync.WATCHERS_PER_REGION),
+                (turn_s - 0.1, count < watchers.WATCHERS_PER_REGION),
                 (turn_s + 0.1, True),
             ):
                 with self.subTest(count=count, age_s=age_s):
