Let polls in flight end before the faults of shared watches are tested

Cause: a poll that a watcher held when it failed still brought the change, so the cases of frozen watchers and bad answers passed without the fallback. Change: these cases wait for such polls first.

--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -205,19 +205,24 @@
     fleet.start()
 
 
-FAULTS: Final[tuple[tuple[str, Callable[[Fleet], Awaitable[None]]], ...]] = (
-    ("no fault", do_nothing),
-    ("a watcher is frozen", freeze_one),
-    ("both watchers are frozen", freeze_both),
-    ("a watcher lags, as its watch is silent", silence_one),
-    ("the store is away for a watcher only", cut_store_of_one),
-    ("a watcher is gone", end_one),
-    ("both watchers are gone", end_both),
-    ("the history is lost", lose_history),
-    ("answers are malformed", answer_garbage),
-    ("answers are too large", answer_too_much),
-    ("watchers know no shared watches", answer_not_found),
-    ("all are restarted", restart_all),
+# What happens, how, and how long before the endpoint begins to drain: polls
+# that a watcher held when it failed end after `shared_watches.HOLD_S`.
+AFTER_POLLS_S: Final = shared_watches.HOLD_S + 0.1
+FAULTS: Final[
+    tuple[tuple[str, Callable[[Fleet], Awaitable[None]], float], ...]
+] = (
+    ("no fault", do_nothing, 0.0),
+    ("a watcher is frozen", freeze_one, AFTER_POLLS_S),
+    ("both watchers are frozen", freeze_both, AFTER_POLLS_S),
+    ("a watcher lags, as its watch is silent", silence_one, 0.0),
+    ("the store is away for a watcher only", cut_store_of_one, 0.0),
+    ("a watcher is gone", end_one, 0.0),
+    ("both watchers are gone", end_both, 0.0),
+    ("the history is lost", lose_history, 0.0),
+    ("answers are malformed", answer_garbage, AFTER_POLLS_S),
+    ("answers are too large", answer_too_much, AFTER_POLLS_S),
+    ("watchers know no shared watches", answer_not_found, AFTER_POLLS_S),
+    ("all are restarted", restart_all, 0.0),
 )
 
 
@@ -241,19 +246,20 @@
 class FaultTest(unittest.IsolatedAsyncioTestCase):
     async def test_drain_reaches_all_processes_in_time(self) -> None:
         """Guards against a process that waits for a watcher that fails."""
-        for name, inject in FAULTS:
+        for name, inject, before_s in FAULTS:
             with self.subTest(name):
-                late = await self._measure_late(inject)
+                late = await self._measure_late(inject, before_s)
                 self.assertEqual(late, 0)
 
     async def _measure_late(
-        self, inject: Callable[[Fleet], Awaitable[None]]
+        self, inject: Callable[[Fleet], Awaitable[None]], before_s: float
     ) -> int:
         """Return how many processes learn too late that an endpoint drains."""
         async with run_fleet() as fleet:
             # At another phase of the watches.
             await anyio.sleep(0.3)
             await inject(fleet)
+            await anyio.sleep(before_s)
             await fleet.write("e", "draining")
             until = deadlines.after(MAX_DRAIN_S)
             while fleet.count_not(is_draining):
