Stop serving a connection whose responses are not read

Accepted connections were read by streams that queue whatever arrives, 0.25 MB at a time, and up to 64 kB more were read ahead of the request in hand; none of it was charged. 140 clients that send requests one behind the other and read nothing took 0.4 MB each.

Accepted connections use the streams of outgoing ones, which hold one piece: 16 kB of heads, 64 kB of bodies, 256 kB of large bodies, which take turns. One request of at most 16 kB is read ahead. The next request is not handled while the client's system has not accepted more than 16 kB of earlier responses. A client that reads nothing for 10 s is closed; before, one that read a response slowly was closed after 10 s although it made progress. Connections are closed after 65 responses of 401, 404 or 405 in a row. When no connection is free and none is idle, those that have waited for their clients for a second give way, the longest first; one whose request has arrived is not closed as idle.

--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -6,6 +6,7 @@
 import functools
 import http
 import socket
+import types
 from typing import Any
 from typing import Final
 from typing import Protocol
@@ -21,11 +22,16 @@
 from eelgrassgate import logs
 from eelgrassgate.http1 import pacing
 from eelgrassgate.http1 import sockets
-
-READ_SIZE_BYTES: Final = 65_536
-# Size of reads of requests: what uvloop receives at once isn't split, which
-# would copy it.
-REQUEST_READ_BYTES: Final = 262_144
+from eelgrassgate.http1 import streams
+
+# Size of reads of heads and small bodies. It bounds what is held of a request
+# that has no account yet: a head within the default limit, or many small
+# requests that were sent one behind the other.
+READ_SIZE_BYTES: Final = 16_384
+# Size of reads of bodies, whose memory is charged.
+BODY_READ_BYTES: Final = 65_536
+# Size of reads of large bodies, of which few are read at a time.
+LARGE_READ_BYTES: Final = 262_144
 # Memory for a body of unknown length is reserved in steps of this size.
 RESERVE_STEP_BYTES: Final = 262_144
 # Bounds on what is read of a request after its refusal. Closing before the
@@ -33,8 +39,27 @@
 # the response.
 MAX_DISCARDED_BYTES: Final = 8_388_608
 DISCARD_TIMEOUT_S: Final = 5.0
-# Maximum number of bytes read ahead while a request is handled.
-MAX_READ_AHEAD_BYTES: Final = 65_536
+# Maximum number of bytes that are read ahead while a request is handled: one
+# request that was sent behind it.
+MAX_READ_AHEAD_BYTES: Final = 16_384
+# How often to check for the end of a connection that is read no further.
+DISCONNECT_POLL_INTERVAL_S: Final = 0.25
+# The next request is not handled while the client's system has not accepted
+# more than this of earlier responses.
+MAX_UNREAD_BYTES: Final = 16_384
+# How often to check whether a client reads its responses.
+UNREAD_POLL_INTERVAL_S: Final = 0.1
+# A connection is closed after this many responses in a row that name no
+# resource or no known key. Clients with a wrong setting only have to connect
+# again.
+MAX_UNPRODUCTIVE: Final = 64
+UNPRODUCTIVE: Final = frozenset(
+    {
+        http.HTTPStatus.UNAUTHORIZED,
+        http.HTTPStatus.NOT_FOUND,
+        http.HTTPStatus.METHOD_NOT_ALLOWED,
+    }
+)
 # Listen backlog; callers reconnect in bursts after a restart.
 BACKLOG: Final = 1024
 ACCEPT_RETRY_DELAY_S: Final = 0.05
@@ -42,8 +67,10 @@
 MAX_CONNECTIONS: Final = 2_000
 # Number of connections that are accepted in one iteration of the event loop.
 MAX_ACCEPTED_AT_ONCE: Final = 64
-# Number of idle connections that are closed to make room for others.
-MAX_CLOSED_AT_ONCE: Final = 16
+# Number of connections that are closed at once to make room for others: idle
+# ones, and those that wait for their clients.
+MAX_IDLE_CLOSED_AT_ONCE: Final = 16
+MAX_STALLED_CLOSED_AT_ONCE: Final = 64
 # How long, and how often, to check for connections that are not accepted yet.
 ACCEPT_PENDING_TIMEOUT_S: Final = 0.25
 ACCEPT_POLL_INTERVAL_S: Final = 0.005
@@ -54,6 +81,9 @@
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # A connection is closed if the client does not read for this long.
 WRITE_TIMEOUT_S: Final = 10.0
+# While connections wait to be accepted, those are closed that have waited for
+# their client for this long: for the rest of a head, or to read a response.
+MIN_STALL_S: Final = 1.0
 # A response that is ready is written for this long after a cancellation.
 SHIELD_S: Final = 0.25
 
@@ -215,6 +245,45 @@
     """The client closed the connection or stopped reading."""
 
 
+class _Stall:
+    """Tells since when a connection has waited for its client.
+
+    Used as a context, in which the connection can do nothing else.
+
+    Attributes:
+        began_at: Monotonic time since which the client has neither sent nor
+            read anything; `NEVER` while nothing waits for it.
+    """
+
+    def __init__(self) -> None:
+        """Initialize for a connection that waits for nothing."""
+        self.began_at = deadlines.NEVER
+
+    def __enter__(self) -> None:
+        """Begin to wait for the client."""
+        self.began_at = deadlines.now()
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End the wait."""
+        self.began_at = deadlines.NEVER
+
+    def check(self, has_progress: bool) -> None:
+        """Begin anew if the client has made progress.
+
+        Raises:
+            TimeoutError: It has made none for `WRITE_TIMEOUT_S`.
+        """
+        if has_progress:
+            self.began_at = deadlines.now()
+        elif deadlines.is_past(self.began_at + WRITE_TIMEOUT_S):
+            raise TimeoutError("the client doesn't read")
+
+
 class Responder:
     """Writes one response.
 
@@ -227,8 +296,9 @@
     def __init__(
         self,
         connection: h11.Connection,
-        stream: abc.SocketStream,
+        stream: streams.Stream,
         must_close: Callable[[], bool],
+        stall: "_Stall",
     ) -> None:
         """Initialize for the request that was just read.
 
@@ -238,6 +308,7 @@
         self._http = connection
         self._stream = stream
         self._must_close = must_close
+        self._stall = stall
         self._has_disconnected = False
         self.status = 0
         self.begun_at = 0.0
@@ -335,10 +406,18 @@
             await self._send(data)
 
     async def _send(self, data: bytes) -> None:
-        """Add data to the buffer and wait until the buffer is empty."""
+        """Add data to the buffer and wait until the buffer is empty.
+
+        Fails once the client has read nothing for `WRITE_TIMEOUT_S`.
+        """
         try:
-            with anyio.fail_after(WRITE_TIMEOUT_S):
-                await self._stream.send(data)
+            await anyio.lowlevel.checkpoint()
+            self._stream.write(data)
+            with anyio.move_on_after(MIN_STALL_S):
+                await self._stream.flush()
+                return
+            with self._stall:
+                await self._wait_until_sent()
         except (
             OSError,
             anyio.BrokenResourceError,
@@ -348,6 +427,24 @@
             self.record_disconnect()
             raise ClientDisconnectedError from error
 
+    async def _wait_until_sent(self) -> None:
+        """Wait until the buffer is empty.
+
+        Raises:
+            TimeoutError: The client has read nothing for `WRITE_TIMEOUT_S`.
+        """
+        while True:
+            left = _count_left(self._stream)
+            with anyio.move_on_after(MIN_STALL_S):
+                await self._stream.flush()
+                return
+            self._stall.check(_count_left(self._stream) < left)
+
+
+def _count_left(stream: streams.Stream) -> int:
+    """Return how much of the responses the client has no room for."""
+    return stream.count_unsent() + sockets.count_unacknowledged(stream)
+
 
 Handler = Callable[[IncomingRequest, Responder], Awaitable[None]]
 
@@ -357,7 +454,7 @@
 
     def __init__(
         self,
-        stream: abc.SocketStream,
+        stream: streams.Stream,
         read_limits: Callable[[], Limits],
         handle: Handler,
         is_closing: Callable[[], bool],
@@ -378,7 +475,12 @@
         )
         # Whether a large body is being read.
         self._is_large = False
+        # Whether the body of a request is being read.
+        self._is_reading_body = False
         self._read_ahead = bytearray()
+        # Number of responses in a row that were of no use to the client.
+        self._unproductive = 0
+        self._stall = _Stall()
         self._has_received_eof = False
         self._is_closed = False
         self.is_idle = True
@@ -414,7 +516,7 @@
         They may be a request that crosses the close.
         """
         unread = sockets.count_unread(self._stream)
-        unparsed = len(self._read_ahead) + len(self._http.trailing_data[0])
+        unparsed = self._count_unparsed()
         if unread or unparsed:
             logs.log_message(
                 "connection closed unread",
@@ -423,11 +525,26 @@
                 is_idle=self.is_idle,
             )
 
+    @property
+    def stalled_since(self) -> float:
+        """Monotonic time since which the client holds up the connection.
+
+        `NEVER` if it doesn't, or the connection is idle.
+        """
+        return self._stall.began_at
+
+    def is_unused(self) -> bool:
+        """Return whether the connection is idle and no request has arrived."""
+        return self.is_idle and not sockets.is_readable(self._stream)
+
     async def _serve_request(self) -> bool:
         """Read and handle a request; returns whether to keep the connection."""
         try:
             incoming = await self._read_request()
-            return incoming is not None and await self._handle_request(incoming)
+            if incoming is None or not await self._handle_request(incoming):
+                return False
+            # The memory of the request also covers what is read ahead.
+            return await self._wait_until_read()
         except _RefusedError as error:
             refusal = error.refusal
         except h11.RemoteProtocolError as error:
@@ -438,6 +555,34 @@
         await self._refuse(refusal)
         return False
 
+    def _create_responder(self) -> Responder:
+        return Responder(
+            self._http, self._stream, self._must_close, self._stall
+        )
+
+    def _must_close(self) -> bool:
+        return self._unproductive >= MAX_UNPRODUCTIVE or self._is_closing()
+
+    async def _wait_until_read(self) -> bool:
+        """Wait until the client has made room for another response.
+
+        Returns:
+            Whether it has; if not, the connection is to be closed.
+        """
+        left = sockets.count_unacknowledged(self._stream)
+        if left <= MAX_UNREAD_BYTES:
+            return True
+        with self._stall:
+            while left > MAX_UNREAD_BYTES:
+                await anyio.sleep(UNREAD_POLL_INTERVAL_S)
+                before = left
+                left = sockets.count_unacknowledged(self._stream)
+                try:
+                    self._stall.check(left < before)
+                except TimeoutError:
+                    return False
+        return True
+
     def _is_cut_without_framing(self) -> bool:
         """Return whether an orderly close would make a response look whole.
 
@@ -458,7 +603,7 @@
 
     async def _reply_refusal(self, refusal: Refusal) -> bool:
         """Respond with a refusal; returns whether it was sent."""
-        responder = Responder(self._http, self._stream, self._is_closing)
+        responder = self._create_responder()
         responder.is_closing = True
         try:
             await responder.reply(refusal.status, refusal.headers)
@@ -480,7 +625,7 @@
             while left > 0:
                 try:
                     data = await self._pacer.receive(
-                        self._stream, REQUEST_READ_BYTES
+                        self._stream, BODY_READ_BYTES
                     )
                 except (
                     anyio.EndOfStream,
@@ -508,8 +653,10 @@
             self._http.receive_data(data)
         with anyio.move_on_after(limits.header_timeout_s):
             event = await self._next_event()
-            while event is None:
-                event = await self._next_event()
+            if event is None:
+                with self._stall:
+                    while event is None:
+                        event = await self._next_event()
             if not isinstance(event, h11.Request):
                 return None
             return await self._read_body(event, limits)
@@ -557,6 +704,7 @@
             )
             await self._stream.send(self._http.send(informational) or b"")
         body = bytearray()
+        self._is_reading_body = True
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
@@ -573,6 +721,7 @@
             elif event is not None:
                 return None
         self._is_large = False
+        self._is_reading_body = False
         return IncomingRequest(
             head.method,
             head.target,
@@ -620,13 +769,15 @@
 
     async def _receive_from_stream(self) -> bytes:
         if self._is_large:
-            return await self._pacer.receive(self._stream, REQUEST_READ_BYTES)
-        return await self._stream.receive(REQUEST_READ_BYTES)
+            return await self._pacer.receive(self._stream, LARGE_READ_BYTES)
+        return await self._stream.receive(
+            BODY_READ_BYTES if self._is_reading_body else READ_SIZE_BYTES
+        )
 
     async def _handle_request(self, incoming: IncomingRequest) -> bool:
         """Handle a request; returns whether to keep the connection."""
         self.is_idle = False
-        responder = Responder(self._http, self._stream, self._is_closing)
+        responder = self._create_responder()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 self._watch_disconnect, responder, tasks.cancel_scope
@@ -639,6 +790,10 @@
                 # A bug in handling one request must not stop the process.
                 await self._reply_internal_error(incoming, responder)
             tasks.cancel_scope.cancel()
+        if responder.status in UNPRODUCTIVE:
+            self._unproductive += 1
+        else:
+            self._unproductive = 0
         if self._http.our_state is not h11.DONE or responder.is_closing:
             return False
         if self._http.their_state is not h11.DONE:
@@ -666,9 +821,14 @@
         self, responder: Responder, scope: anyio.CancelScope
     ) -> None:
         """Cancel the handler when the client disconnects."""
-        while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
+        while True:
+            left = MAX_READ_AHEAD_BYTES - self._count_unparsed()
             try:
-                data = await self._stream.receive(READ_SIZE_BYTES)
+                if left > 0:
+                    data = await self._stream.receive(left)
+                else:
+                    data = b""
+                    await self._wait_until_closed()
             except (
                 anyio.EndOfStream,
                 anyio.BrokenResourceError,
@@ -681,6 +841,19 @@
                 return
             self._read_ahead.extend(data)
 
+    def _count_unparsed(self) -> int:
+        return len(self._read_ahead) + len(self._http.trailing_data[0])
+
+    async def _wait_until_closed(self) -> None:
+        """Wait until the client disconnects, without reading.
+
+        Raises:
+            anyio.EndOfStream: It has disconnected.
+        """
+        while not sockets.has_peer_closed(self._stream):
+            await anyio.sleep(DISCONNECT_POLL_INTERVAL_S)
+        raise anyio.EndOfStream
+
     async def close(self) -> None:
         """Close an idle connection; a request in transit is dropped."""
         self._is_closed = True
@@ -716,12 +889,15 @@
         is_closing: Callable[[], bool],
         admission: Admission = ADMIT_ALL,
         max_connections: int = MAX_CONNECTIONS,
+        min_stall_s: float = MIN_STALL_S,
     ) -> None:
         """Initialize; `is_closing` requests `Connection: close`.
 
-        No connections beyond `max_connections` are accepted; idle ones are
-        closed for those that wait.
+        No connections beyond `max_connections` are accepted. For those that
+        wait, idle ones are closed, or else those that have waited for their
+        clients for `min_stall_s`.
         """
+        self._min_stall_s = min_stall_s
         self._max_connections = max_connections
         self._admission = admission
         self._pacer = pacing.create_pacer()
@@ -840,9 +1016,24 @@
         return len(self._connections) + self._opening
 
     async def _close_idle(self) -> None:
-        """Close connections that have been idle, to make room for others."""
-        idle = [one for one in self._connections if one.is_idle]
-        for connection in idle[:MAX_CLOSED_AT_ONCE]:
+        """Close connections to make room for others.
+
+        Those that are idle, in the order in which they were accepted; without
+        any, those that have waited longest for their clients.
+        """
+        unused = [one for one in self._connections if one.is_unused()]
+        del unused[MAX_IDLE_CLOSED_AT_ONCE:]
+        if not unused:
+            stalled_before = deadlines.now() - self._min_stall_s
+            unused = sorted(
+                (
+                    one
+                    for one in self._connections
+                    if one.stalled_since <= stalled_before
+                ),
+                key=lambda one: one.stalled_since,
+            )[:MAX_STALLED_CLOSED_AT_ONCE]
+        for connection in unused:
             await connection.close()
         await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
@@ -878,8 +1069,7 @@
             task_status.started()
             await anyio.sleep_forever()
 
-    async def _serve_one(self, stream: abc.SocketStream) -> None:
-        sockets.pause_reading(stream)
+    async def _serve_one(self, stream: streams.Stream) -> None:
         try:
             sockets.set_options(stream)
         except OSError as error:
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -81,16 +81,6 @@
         raise ConnectionResetError("connection was closed") from error
 
 
-def pause_reading(stream: abc.SocketStream) -> None:
-    """Stop reading an accepted connection until its next `receive`.
-
-    anyio leaves it reading, without bound, until a `receive` has waited once.
-    """
-    transport: Any = getattr(stream, "_transport", None)
-    if transport is not None:
-        transport.pause_reading()
-
-
 def accept(listening: Any) -> socket.socket:
     """Accept a connection that waits.
 
@@ -103,14 +93,14 @@
     return accepted
 
 
-async def wrap(accepted: socket.socket) -> abc.SocketStream:
-    """Return the stream of an accepted connection.
+async def wrap(accepted: socket.socket) -> streams.Stream:
+    """Return the stream of an accepted connection, which isn't read yet.
 
     Raises:
         OSError: The client has left.
     """
     try:
-        return await abc.SocketStream.from_socket(accepted)
+        return await streams.wrap(accepted)
     except (OSError, ValueError) as error:
         accepted.close()
         raise ConnectionResetError("connection was closed") from error
@@ -160,11 +150,35 @@
     return bool(poll.poll(0))
 
 
+def has_peer_closed(opened: anyio.TypedAttributeProvider) -> bool:
+    """Return whether the peer has ended the connection; needs no read."""
+    try:
+        raw: Any = opened.extra(abc.SocketAttribute.raw_socket)
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except (AttributeError, ValueError, OSError):
+        return True
+
+
+def count_unacknowledged(opened: anyio.TypedAttributeProvider) -> int:
+    """Return how many sent bytes the peer has no room for; 0 once closed.
+
+    Bytes that the peer's system has received, but its program has not read,
+    don't count.
+    """
+    return _count_queued(opened, termios.TIOCOUTQ)
+
+
 def count_unread(opened: anyio.TypedAttributeProvider) -> int:
     """Return how many received bytes have not been read; 0 once closed."""
+    return _count_queued(opened, termios.FIONREAD)
+
+
+def _count_queued(opened: anyio.TypedAttributeProvider, request: int) -> int:
     try:
         raw: Any = opened.extra(abc.SocketAttribute.raw_socket)
-        count = fcntl.ioctl(raw.fileno(), termios.FIONREAD, bytes(INT.size))
+        count = fcntl.ioctl(raw.fileno(), request, bytes(INT.size))
     except (AttributeError, ValueError, OSError):
         return 0
     return int(INT.unpack(count)[0])
--- a/eelgrassgate/http1/streams.py
+++ b/eelgrassgate/http1/streams.py
@@ -1,10 +1,11 @@
-"""Client connections that hold at most one received piece.
+"""Connections that hold at most one received piece.
 
 The streams of `anyio` queue all that a socket holds in one pass of the event
 loop, several megabytes from a fast peer, before a reader gets any of it.
 """
 
 import asyncio
+import contextlib
 import socket
 from typing import cast
 from typing import Final
@@ -21,6 +22,7 @@
 
     Attributes:
         received: The received piece, empty if there is none.
+        piece_bytes: Maximum size of the next piece.
         is_over: Whether the peer or the connection has ended.
         error: The error with which the connection ended.
         is_readable: Set while there is a piece or the end.
@@ -34,6 +36,7 @@
         self.is_readable = asyncio.Event()
         self.is_writable = asyncio.Event()
         self.is_writable.set()
+        self.piece_bytes = PIECE_BYTES
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
 
@@ -49,7 +52,7 @@
         self.is_writable.set()
 
     def get_buffer(self, sizehint: int) -> bytearray:
-        self._buffer = bytearray(PIECE_BYTES)
+        self._buffer = bytearray(self.piece_bytes)
         return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -102,6 +105,7 @@
         if protocol.is_readable.is_set() or self._transport.is_closing():
             await anyio.lowlevel.checkpoint()
         else:
+            protocol.piece_bytes = max_bytes
             self._transport.resume_reading()
             try:
                 await protocol.is_readable.wait()
@@ -120,28 +124,50 @@
             protocol.is_readable.clear()
         return found
 
-    async def send(self, item: bytes) -> None:
-        """Send data; returns when all of it was handed to the system.
+    def write(self, item: bytes) -> None:
+        """Begin to send data; `flush` waits until it is sent.
 
         Raises:
             anyio.BrokenResourceError: The connection failed.
             anyio.ClosedResourceError: The connection was closed here.
         """
-        await anyio.lowlevel.checkpoint()
         self._check_open()
         self._transport.write(item)
+
+    async def flush(self) -> None:
+        """Wait until all that was written was handed to the system.
+
+        Raises the exceptions of `write`.
+        """
         await self._protocol.is_writable.wait()
         self._check_open()
 
+    async def send(self, item: bytes) -> None:
+        """Send data; returns when all of it was handed to the system.
+
+        Raises:
+            anyio.BrokenResourceError: The connection failed.
+            anyio.ClosedResourceError: The connection was closed here.
+        """
+        await anyio.lowlevel.checkpoint()
+        self.write(item)
+        await self.flush()
+
     def _check_open(self) -> None:
         if self._is_closed:
             raise anyio.ClosedResourceError
         if self._transport.is_closing():
             raise anyio.BrokenResourceError from self._protocol.error
 
+    def count_unsent(self) -> int:
+        """Return how many bytes were not yet handed to the system."""
+        return self._transport.get_write_buffer_size()
+
     async def send_eof(self) -> None:
         """Tell the peer that nothing more is sent."""
-        self._transport.write_eof()
+        with contextlib.suppress(OSError, RuntimeError):
+            # The connection may have failed meanwhile.
+            self._transport.write_eof()
 
     async def aclose(self) -> None:
         """Close immediately and discard unsent data."""
@@ -159,3 +185,16 @@
     loop = asyncio.get_running_loop()
     transport, protocol = await loop.create_connection(_Protocol, host, port)
     return Stream(transport, protocol)
+
+
+async def wrap(accepted: socket.socket) -> Stream:
+    """Return the stream of an accepted connection, which isn't read yet.
+
+    Raises:
+        OSError: The connection was closed meanwhile.
+    """
+    loop = asyncio.get_running_loop()
+    transport, protocol = await loop.connect_accepted_socket(
+        _Protocol, accepted
+    )
+    return Stream(transport, protocol)
