Bound what clients can hold of the readiness, metrics and relay listeners

Bodies sent to the readiness path, the metrics and the relay were read up to 4 MB each and charged to nobody, and each of these listeners accepted 2,000 connections beside those of callers.

Readiness and metrics accept bodies of 1 kB; bodies of peers' calls are charged to the memory budget before they are read. Readiness takes 64 connections, and closes each after its response when more than half are open, metrics 32, the relay 256.

--- a/bench/memory_load.py
+++ b/bench/memory_load.py
@@ -31,16 +31,19 @@
 import msgspec
 import psutil
 
+from bench import client_loads
 from bench import ports
 from bench import processes
 from bench import small_requests
 
 MB: Final = 1_000_000
 MEMORY_MB: Final = 300
+FILE_DESCRIPTORS: Final = 4_200
 # Loopback networks that no other benchmark or test uses.
 NETWORKS: Final = range(129, 250)
 CALLERS_PORT: Final = 7_801
 READY_PORT: Final = 7_802
+RELAY_PORT: Final = 7_812
 METRICS_PORT: Final = 9_090
 GRACE_S: Final = 4.0
 HOST: Final = "desk.example"
@@ -55,6 +58,8 @@
 PIECE_BYTES: Final = 65_536
 WARM_UP_S: Final = 2.0
 NO_ANSWER: Final = "none"
+# Number of clients that exceed the limits.
+CLIENTS: Final = 300
 
 
 def _pick_network() -> str:
@@ -86,18 +91,24 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """What was measured under one load; times in milliseconds."""
+    """What was measured under one load; times in milliseconds.
+
+    `gateway_descriptors` is the largest number of open descriptors;
+    `answer_after` the answer to a small request after the load.
+    """
 
     load: str
     gateway_peak_mb: int
     batch_peak_mb: int
     gateway_after_mb: int
+    gateway_descriptors: int
     answers: dict[str, int]
     small_answers: dict[str, int]
     small_p50_ms: float
     small_p99_ms: float
     took_s: float
     ended: tuple[str, ...]
+    answer_after: str
 
 
 def _write_head(
@@ -283,8 +294,69 @@
     return loads
 
 
+def make_client_load(
+    name: str,
+    count: int,
+    act: Callable[[client_loads.Target, int], Awaitable[None]],
+    port: int = CALLERS_PORT,
+    path: str = "/small/a",
+    host: str = HOST,
+    key: str = KEYS[0],
+) -> Load:
+    """Create a load of clients that exceed the limits.
+
+    Args:
+        name: Name of the load.
+        count: Number of clients.
+        act: What each client does.
+        port: Port of the listener.
+        path: The requested path.
+        host: The requested host.
+        key: The API key.
+    """
+    target = client_loads.Target(GATEWAY_IP, port, host, path, key)
+
+    async def send(number: int) -> str:
+        await act(target, number)
+        return NO_ANSWER
+
+    return Load(name, count, send)
+
+
+def list_client_loads(count: int) -> list[Load]:
+    """Return the loads of `count` clients that exceed the limits."""
+    unread = client_loads.send_without_reading
+    slow = client_loads.read_slowly
+    make = make_client_load
+    return [
+        make("pipelined-readiness", count, unread, READY_PORT, "/ready"),
+        make("pipelined-no-route", count, unread, path="/none/a"),
+        make("pipelined-no-host", count, unread, host="none.example"),
+        make("pipelined-no-key", count, unread, key="none"),
+        make("pipelined-job-reads", count, unread, path="/lots/none"),
+        make("pipelined-metrics", count, unread, METRICS_PORT, "/metrics"),
+        make("pipelined-relay", count, unread, RELAY_PORT, "/jobs/none"),
+        make("slow-readers", count, slow, path="/none/a"),
+        make("slow-readiness", count, slow, READY_PORT, "/ready"),
+        make("announced-bodies", count, client_loads.announce_body),
+        make("chunked-bodies", count, client_loads.send_chunks),
+        make("readiness-bodies", count, client_loads.send_chunks, READY_PORT),
+        make("relay-bodies", count, client_loads.send_chunks, RELAY_PORT),
+        make("endless-heads", count, client_loads.send_endless_head),
+        make("opened-and-closed", count, client_loads.open_and_close),
+        make(
+            "opened-readiness", count, client_loads.open_and_close, READY_PORT
+        ),
+    ]
+
+
 def _write_settings(
-    folder: pathlib.Path, name: str, ip: str, store_address: str
+    folder: pathlib.Path,
+    name: str,
+    ip: str,
+    store_address: str,
+    memory_mb: int = MEMORY_MB,
+    file_descriptors: int = FILE_DESCRIPTORS,
 ) -> pathlib.Path:
     path = folder / f"{name}.toml"
     path.write_text(
@@ -301,8 +373,8 @@
 [bounds]
 grace-s = {GRACE_S}
 [limits]
-memory-mb = {MEMORY_MB}
-file-descriptors = 4200
+memory-mb = {memory_mb}
+file-descriptors = {file_descriptors}
 [listen]
 front = "{ip}:{CALLERS_PORT}"
 ready = "{ip}:{READY_PORT}"
@@ -384,10 +456,15 @@
 
 
 async def _sample_memory(
-    watched: Sequence[processes.Process], peaks: dict[str, int]
+    watched: Sequence[processes.Process],
+    peaks: dict[str, int],
+    descriptors: dict[str, int],
 ) -> None:
     while True:
         for process in watched:
+            descriptors[process.name] = max(
+                descriptors.get(process.name, 0), _count_descriptors(process)
+            )
             peaks[process.name] = max(
                 peaks.get(process.name, 0), _read_resident(process)
             )
@@ -402,8 +479,39 @@
         return 0
 
 
-async def run_load(load: Load, folder: pathlib.Path) -> Row:
-    """Serve one load by new processes and measure it."""
+def _count_descriptors(process: processes.Process) -> int:
+    create_process: Any = psutil.Process
+    try:
+        return int(create_process(process.pid).num_fds())
+    except psutil.Error:
+        return 0
+
+
+async def _send_small() -> str:
+    """Return the answer to a small request."""
+
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(_write_head(0, "/small/a", 0, KEYS[0], "a"))
+
+    return await _exchange(send)
+
+
+async def run_load(
+    load: Load,
+    folder: pathlib.Path,
+    memory_mb: int = MEMORY_MB,
+    file_descriptors: int = FILE_DESCRIPTORS,
+) -> Row:
+    """Serve one load by new processes and measure it.
+
+    Args:
+        load: The load.
+        folder: For settings and output of the processes.
+        memory_mb: Memory that the settings give to a process.
+        file_descriptors: Descriptors that the settings give to a process.
+    """
     store_port = ports.pick_port()
     async with processes.run_processes(folder) as running:
         running.start(
@@ -420,7 +528,9 @@
         await write_documents(f"http://{store_address}", addresses_by_service)
         watched = []
         for role, ip in (("gateway", GATEWAY_IP), ("batch", BATCH_IP)):
-            path = _write_settings(folder, role, ip, store_address)
+            path = _write_settings(
+                folder, role, ip, store_address, memory_mb, file_descriptors
+            )
             environment = {"EELGRASSGATE_BOOT": str(path), "PATH": ""}
             watched.append(
                 running.start(
@@ -434,13 +544,14 @@
 
 async def _measure(load: Load, watched: Sequence[processes.Process]) -> Row:
     peaks: dict[str, int] = {}
+    descriptors: dict[str, int] = {}
     answers: Counter[str] = Counter()
 
     async def send_one(number: int) -> None:
         answers[await load.send(number)] += 1
 
     async with anyio.create_task_group() as samplers:
-        samplers.start_soon(_sample_memory, watched, peaks)
+        samplers.start_soon(_sample_memory, watched, peaks, descriptors)
         async with await anyio.open_process(
             [
                 *(sys.executable, "-m", "bench.small_requests"),
@@ -468,17 +579,19 @@
         peaks["gateway"] // MB,
         peaks["batch"] // MB,
         _read_resident(watched[0]) // MB,
+        descriptors["gateway"],
         dict(answers),
         dict(small.answers),
         round(statistics.median(latencies_ms), 1),
         round(latencies_ms[int(len(latencies_ms) * 0.99)], 1),
         round(took_s, 1),
         tuple(one.name for one in watched if not one.is_running()),
+        await _send_small(),
     )
 
 
 async def _run_all(names: Sequence[str]) -> None:
-    for load in list_loads():
+    for load in [*list_loads(), *list_client_loads(CLIENTS)]:
         if names and load.name not in names:
             continue
         with tempfile.TemporaryDirectory() as folder:
--- a/bench/small_requests.py
+++ b/bench/small_requests.py
@@ -43,7 +43,8 @@
                 line = await reader.readline()
                 # The connection closes at the end of the response.
                 await reader.read()
-                status = line.decode("latin-1").split(" ")[1]
+                if line:
+                    status = line.decode("latin-1").split(" ")[1]
             finally:
                 writer.close()
     result.answers[status] = result.answers.get(status, 0) + 1
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -29,6 +29,12 @@
 # Descriptors for files, the store, peers, metrics and probes; the platform sets
 # 200 aside for files.
 RESERVED_DESCRIPTORS: Final = 400
+# Connections to the readiness path. The platform probes once a second; when
+# more than half are open, each is closed after its response.
+READINESS_CONNECTIONS: Final = 64
+# Probes send their requests at once.
+READINESS_MIN_STALL_S: Final = 0.1
+READINESS_LIMITS: Final = downstream.Limits(body_bytes=1_024)
 # Share of the others for connections to endpoints; most connections of callers
 # are idle or have sent no whole request.
 ENDPOINTS_SHARE: Final = 0.2
@@ -100,9 +106,11 @@
             compute_max_connections(node.settings.file_descriptors),
         )
         self._readiness_listener = downstream.Listener(
-            downstream.Limits,
+            lambda: READINESS_LIMITS,
             self._handle_readiness,
             self._is_readiness_closing,
+            max_connections=READINESS_CONNECTIONS,
+            min_stall_s=READINESS_MIN_STALL_S,
         )
 
     def is_ready(self) -> bool:
@@ -126,7 +134,8 @@
         return self._shutdown.is_draining
 
     def _is_readiness_closing(self) -> bool:
-        return False
+        count = self._readiness_listener.count_connections()
+        return count > READINESS_CONNECTIONS // 2
 
     async def _handle_readiness(
         self,
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -22,6 +22,9 @@
 MAX_LABEL_VALUES: Final = 1_000
 OTHER: Final = "other"
 OK: Final = 200
+# A few monitors scrape, over one connection each.
+MAX_CONNECTIONS: Final = 32
+_SCRAPE_LIMITS: Final = downstream.Limits(body_bytes=1_024)
 _TEXT_HEADERS: Final = ((b"content-type", b"text/plain; version=0.0.4"),)
 
 
@@ -233,7 +236,10 @@
     async def run(self, address: str) -> None:
         """Serve the metrics at `host:port` until cancelled."""
         listener = downstream.Listener(
-            downstream.Limits, self._handle_scrape, lambda: False
+            lambda: _SCRAPE_LIMITS,
+            self._handle_scrape,
+            lambda: False,
+            max_connections=MAX_CONNECTIONS,
         )
         async with anyio.create_task_group() as tasks:
             await tasks.start(listener.run)
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -23,6 +23,9 @@
 BAD_GATEWAY: Final = 502
 NOT_FOUND: Final = 404
 SERVICE_UNAVAILABLE: Final = 503
+# Connections of peers: each peer has one that waits for changes and a few for
+# calls. Idle ones are closed for those that wait.
+MAX_CONNECTIONS: Final = 256
 # Holder of relayed calls in the memory budget.
 HOLDER: Final = "peers"
 # Copies of a body that are held while it is relayed, besides the one that the
@@ -33,11 +36,48 @@
 MEMORY_WAIT_S: Final = 1.0
 JOBS_PATH: Final = b"/jobs/"
 CONFIG_PATH: Final = b"/config"
+# The call was not made.
+_NO_MEMORY: Final = downstream.Refusal(SERVICE_UNAVAILABLE, reason="memory")
 _CONNECTION_HEADERS: Final = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length"}
 )
 
 
+class _PeerAccount:
+    """The memory of the body of a peer's call."""
+
+    def __init__(self, account: memory_budget.Account) -> None:
+        """Initialize; see `_PeerAdmission.open`."""
+        self._account = account
+
+    async def reserve(self, size: int) -> downstream.Refusal | None:
+        """Reserve memory for `size` more bytes of the body."""
+        wait_until = deadlines.after(MEMORY_WAIT_S)
+        if not size or await self._account.grow(size, wait_until):
+            return None
+        return _NO_MEMORY
+
+    def release_body(self) -> None:
+        """Give back the memory of the body."""
+        self._account.shrink(self._account.held_bytes)
+
+    def close(self) -> None:
+        """Give back all memory of the call."""
+        self._account.close()
+
+
+class _PeerAdmission:
+    """Admits calls while there is memory for their bodies."""
+
+    def __init__(self, budget: memory_budget.Budget) -> None:
+        """Initialize with the budget of the process."""
+        self._budget = budget
+
+    def open(self, head: downstream.RequestHead) -> downstream.RequestAccount:
+        """Open the account of a call whose head was read."""
+        return _PeerAccount(self._budget.open(memory_budget.Kind.PEER, HOLDER))
+
+
 class Relay:
     """Relays requests to one address and returns the responses.
 
@@ -54,7 +94,11 @@
         self.config_handler: downstream.Handler | None = None
         self._pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self._listener = downstream.Listener(
-            downstream.Limits, self._handle, lambda: False
+            downstream.Limits,
+            self._handle,
+            lambda: False,
+            _PeerAdmission(budget),
+            MAX_CONNECTIONS,
         )
 
     async def run(self, address: str, give_up_at: float = 0.0) -> None:
