--- a/bench/memory_load.py
+++ b/bench/memory_load.py
@@ -384,7 +384,7 @@
     return path
 
 
-def make_route(
+def _make_route(
     prefix: str, kind: str, service: str = "engine"
 ) -> dict[str, Any]:
     return {
@@ -410,10 +410,10 @@
         "op/config": {
             "version": 1,
             "routes": [
-                make_route("/stream/", "streaming"),
-                make_route("/small/", "safe", "small"),
-                make_route("/large/", "safe"),
-                make_route("/batch/", "batch"),
+                _make_route("/stream/", "streaming"),
+                _make_route("/small/", "safe", "small"),
+                _make_route("/large/", "safe"),
+                _make_route("/batch/", "batch"),
             ],
             "services": [
                 {"name": name, "max-connections": SLOTS, "engine": {}}
@@ -427,41 +427,32 @@
         },
     }
     for service, address in addresses_by_service.items():
-        documents[f"servers/i-{service}"] = make_endpoint(
-            service, address, SLOTS
-        )
-    for key, value in documents.items():
-        await write_document(store_url, key, value)
-
-
-def make_endpoint(service: str, address: str, slots: int) -> dict[str, Any]:
-    """Return the entry of an endpoint."""
-    return {
-        "service": service,
-        "address": address,
-        "zone": "z1",
-        "version": "v1",
-        "slots": slots,
-        "state": "ready",
-        "cold-remaining-ms": 0,
-        "sequence": 1,
-        "born": 1_800_000_000_000,
-    }
-
-
-async def write_document(store_url: str, key: str, value: Any) -> None:
-    """Write one value to the store."""
-    put = {
-        "key": key,
-        "value": base64.b64encode(msgspec.json.encode(value)).decode(),
-        "lease": 0,
-    }
+        documents[f"servers/i-{service}"] = {
+            "service": service,
+            "address": address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": SLOTS,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            "born": 1_800_000_000_000,
+        }
+    puts = [
+        {
+            "key": key,
+            "value": base64.b64encode(msgspec.json.encode(value)).decode(),
+            "lease": 0,
+        }
+        for key, value in documents.items()
+    ]
     async with httpx.AsyncClient() as client:
-        response = await client.post(
-            f"{store_url}/kv-txn",
-            json={"precondition": [], "puts": [put], "deletes": []},
-        )
-        response.raise_for_status()
+        for put in puts:
+            response = await client.post(
+                f"{store_url}/kv-txn",
+                json={"precondition": [], "puts": [put], "deletes": []},
+            )
+            response.raise_for_status()
 
 
 async def _sample_memory(
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -26,7 +26,6 @@
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import regions
 from eelgrassgate.gateway import settings
-from eelgrassgate.gateway import start_share as start_share_lib
 from eelgrassgate.http1 import upstream
 from eelgrassgate.peering import failures
 from eelgrassgate.peering import loads
@@ -171,14 +170,6 @@
         )
         self.draining = draining_lib.create_draining_endpoints()
         self.metrics.observe_draining(self.draining.count)
-        start_share = None
-        if role is registry.Role.GATEWAY:
-            start_share = start_share_lib.create_start_share(
-                self.member,
-                lambda: tuple(self.directory.members_by_name.values()),
-                node_settings.region_by_zone,
-            )
-            self.reports.subscribe(start_share)
         self.placement = placement_lib.create_placement(
             self.loads,
             self.failures,
@@ -186,7 +177,6 @@
             self.draining,
             node_settings.zone,
             node_settings.region_by_zone,
-            start_share=start_share,
         )
         evacuations = evacuations_lib.create_evacuations()
         evacuations.subscribe(self.draining.set_evacuated_zones)
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -15,7 +15,6 @@
 from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import eligibility
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
-from eelgrassgate.gateway import start_share as start_share_lib
 from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
 
@@ -86,10 +85,8 @@
         zone: str,
         region_by_zone: Mapping[str, str],
         clock: Callable[[], float],
-        start_share: start_share_lib.StartShare | None,
     ) -> None:
         """Initialize without endpoints; see `create_placement`."""
-        self._start_share = start_share
         self._loads = load_table
         self._failures = failures
         self.endpoint_limits = endpoint_limits
@@ -340,20 +337,13 @@
         online = self._loads.count_in_flight_of_class(
             endpoint.id, outcomes.RequestClass.ONLINE
         )
+        ahead = online + 1 - endpoint.slots
+        if ahead <= 0:
+            return 0.0
         duration_s = self._request_duration_s_by_service.get(
             endpoint.service, INITIAL_REQUEST_DURATION_S
         )
-        ahead = online + 1 - endpoint.slots
-        wait_s = max(0, ahead) * duration_s / endpoint.slots
-        if self._start_share is None or self._start_share.is_over():
-            return wait_s
-        own, settled = self._loads.split_online(
-            endpoint.id, self._start_share.list_starting()
-        )
-        return max(
-            wait_s,
-            self._start_share.estimate_wait(endpoint, own, settled, duration_s),
-        )
+        return ahead * duration_s / endpoint.slots
 
     def record_success(
         self, endpoint: catalog.Endpoint, duration_s: float | None = None
@@ -405,7 +395,6 @@
     zone: str,
     region_by_zone: Mapping[str, str],
     clock: Callable[[], float] = deadlines.now,
-    start_share: start_share_lib.StartShare | None = None,
 ) -> Placement:
     """Create a placement.
 
@@ -417,8 +406,6 @@
         zone: Availability zone of this process.
         region_by_zone: Region of each availability zone.
         clock: Returns seconds on a monotonic clock.
-        start_share: Bounds what a gateway uses while it starts; None for a
-            process that sends no online requests.
     """
     return Placement(
         load_table,
@@ -428,5 +415,4 @@
         zone,
         region_by_zone,
         clock,
-        start_share,
     )
--- a/eelgrassgate/peering/loads.py
+++ b/eelgrassgate/peering/loads.py
@@ -1,6 +1,5 @@
 """Requests in flight by endpoint, aggregated over all processes."""
 
-from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -43,25 +42,6 @@
         """Return the number of requests of one class in flight."""
         return self._total[kind].get(endpoint, 0)
 
-    def split_online(
-        self, endpoint: str, starting: Collection[str]
-    ) -> tuple[int, int]:
-        """Return the online requests of this process, and those of peers.
-
-        Args:
-            endpoint: The endpoint.
-            starting: Names of peers to leave out.
-        """
-        kind = outcomes.RequestClass.ONLINE
-        own = self._own[kind].get(endpoint, 0)
-        left_out = sum(
-            self._counts_by_peer[name][kind].get(endpoint, 0)
-            for name in starting
-            if name in self._counts_by_peer
-        )
-        total = self._total[kind].get(endpoint, 0)
-        return own, total - own - left_out
-
     def get_own_counts(self) -> tuple[_Counts, _Counts]:
         """Return this process's counts of online requests and batch items."""
         own = self._own
