--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -18,6 +18,7 @@
 from eelgrassgate.gateway import evacuations as evacuations_lib
 from eelgrassgate.http1 import sockets
 from eelgrassgate.peering import reports
+from eelgrassgate.peering import watchers
 from eelgrassgate.platform import documents
 from eelgrassgate.standins import endpoint
 from eelgrassgate.store import base
@@ -252,7 +253,7 @@
             watching = sum(
                 one.discovery.config.is_watcher() for one in nodes[:4]
             )
-            self.assertEqual(watching, config_sync.WATCHERS_PER_REGION)
+            self.assertEqual(watching, watchers.WATCHERS_PER_REGION)
             await write(backend, KEY, b"{}")
             await self.wait_for_zones(nodes, Z1)
             for one, store in zip(nodes[:4], stores[:4], strict=True):
