Divide cold limits also among processes that are out of reach

Cause: processes whose registration ended were replaced as users of a cold endpoint's limit, though they may run on in a partition and send their parts there. And a process that is no user of the limit would have sent an endpoint nothing for as long as the store was away, once a connection to it had failed.

Change: such processes keep their parts for 60 s. An endpoint that nobody reaches is treated as cold for 30 s and `cold-start-s` at most.

--- a/eelgrassgate/gateway/endpoint_limits.py
+++ b/eelgrassgate/gateway/endpoint_limits.py
@@ -42,6 +42,16 @@
 # entries are received up to 1.5 s after they are written. If its start time is
 # the same, the endpoint has not restarted since.
 ENTRY_DELAY_S: Final = 1.8
+# How long an endpoint that nobody reaches is treated as cold, besides the time
+# that a start takes. A process that may send it nothing can't tell when it is
+# back, and while the store is unavailable no entry does.
+MAX_UNREACHED_S: Final = 30.0
+# For how long processes that are no longer registered keep their parts of the
+# limits of cold endpoints. They may run on without the store and their peers,
+# and send their parts to an endpoint that others reach as well.
+KEEP_MEMBER_S: Final = 60.0
+# How often to note which processes are registered.
+MEMBERS_INTERVAL_S: Final = 1.0
 # Bound on the time for which an entry or a peer may state that an endpoint is
 # cold.
 MAX_COLD_S: Final = 600.0
@@ -71,12 +81,15 @@
         unreachable_since: Monotonic time of the last failure, if it may have
             restarted since; None if it is cold by its entry or by a report.
         is_shared: Whether peers are told.
+        is_reached: Whether `until` no longer waits for a response, as there
+            was one or a peer waits for it.
     """
 
     version: int
     until: float
     unreachable_since: float | None
     is_shared: bool
+    is_reached: bool = False
 
 
 class Limit(msgspec.Struct, frozen=True):
@@ -133,6 +146,8 @@
         self._service_by_endpoint: dict[str, str] = {}
         self._started_by_endpoint: dict[str, int] = {}
         self._colds_by_endpoint: dict[str, Cold] = {}
+        self._known_members: dict[str, tuple[registry.Member, float]] = {}
+        self._members_noted_at = -math.inf
         self._member = member
         self._list_members = list_members
         self._region_by_zone = region_by_zone
@@ -203,6 +218,7 @@
     def record_entry(self, endpoint: catalog.Endpoint) -> None:
         """Record an entry that an endpoint has written, also an equal one."""
         now = self._clock()
+        self._note_members(now)
         name = endpoint.id
         is_new = self._started_by_endpoint.get(name) != endpoint.started
         self._started_by_endpoint[name] = endpoint.started
@@ -230,16 +246,18 @@
             has_ended: Whether it certainly ended; peers are told only then,
                 since this process alone may be cut off from it.
         """
-        if self._get_service(endpoint.id) is None:
+        service = self._get_service(endpoint.id)
+        if service is None:
             return
+        now = self._clock()
         known = self._colds_by_endpoint.get(endpoint.id)
         has_ended |= known is not None and (
             known.unreachable_since is not None and known.is_shared
         )
         self._set_cold(
             endpoint.id,
-            math.inf,
-            self._clock(),
+            now + MAX_UNREACHED_S + service.cold_start_s,
+            now,
             "unreachable",
             is_shared=has_ended,
         )
@@ -248,8 +266,15 @@
         """Begin the time for which an endpoint may be cold."""
         known = self._colds_by_endpoint.get(endpoint)
         service = self._get_service(endpoint)
-        if known is None or service is None or known.until < math.inf:
+        if (
+            known is None
+            or service is None
+            or known.is_reached
+            or known.unreachable_since is None
+            or not known.until
+        ):
             return
+        known.is_reached = True
         known.until = self._clock() + service.cold_start_s
         if known.is_shared:
             # Peers count from now as well.
@@ -263,6 +288,7 @@
         source: str,
         *,
         is_shared: bool,
+        is_reached: bool = False,
         version: int = 0,
     ) -> None:
         """Set until when an endpoint is cold; log a change of its state."""
@@ -274,7 +300,7 @@
             if until and (not was_cold or (is_shared and not was_shared)):
                 version += 1
         self._colds_by_endpoint[endpoint] = Cold(
-            version, until, unreachable_since, is_shared
+            version, until, unreachable_since, is_shared, is_reached
         )
         if was_cold == bool(until):
             return
@@ -293,8 +319,8 @@
             service = self._get_service(name)
             if service is not None and cold.is_shared and now < cold.until:
                 left_s = cold.until - now
-                if cold.until == math.inf:
-                    left_s = service.cold_start_s
+                if cold.unreachable_since is not None:
+                    left_s = min(left_s, service.cold_start_s)
                 found[name] = (cold.version, round(left_s, 2))
         return found
 
@@ -315,11 +341,16 @@
                     now,
                     report.name,
                     is_shared=True,
+                    is_reached=True,
                     version=version,
                 )
-            elif known.version == version and known.unreachable_since:
+            elif (
+                known.version == version
+                and known.unreachable_since is not None
+                and known.until
+            ):
                 # Not once its entry has ended it here.
-                known.until = known.until and max(known.until, until)
+                known.until = max(known.until, until)
 
     def compute_wait(
         self, endpoint: catalog.Endpoint, *, is_shared: bool
@@ -398,6 +429,25 @@
         capacity = max(1.0, min(BUCKET_CAPACITY, max_saved / len(users)))
         return rate_per_s / len(users), capacity
 
+    def _note_members(self, now: float) -> None:
+        """Note which processes are registered; forget those long gone."""
+        if now < self._members_noted_at + MEMBERS_INTERVAL_S:
+            return
+        self._members_noted_at = now
+        for one in self._list_members():
+            self._known_members[one.name] = (one, now)
+        for name, (_, noted_at) in list(self._known_members.items()):
+            if now > noted_at + KEEP_MEMBER_S:
+                del self._known_members[name]
+
+    def _list_users(self, *, is_cold: bool) -> Iterable[registry.Member]:
+        """Return the processes among which a limit is divided."""
+        members = {one.name: one for one in self._list_members()}
+        if is_cold:
+            for name, (one, _) in self._known_members.items():
+                members.setdefault(name, one)
+        return members.values()
+
     def _find_nearest(self, endpoint: catalog.Endpoint) -> list[str]:
         """Return the processes of this one's role nearest to an endpoint.
 
@@ -405,7 +455,9 @@
         region.
         """
         members = [
-            one for one in self._list_members() if one.role is self._member.role
+            one
+            for one in self._list_users(is_cold=self.is_cold(endpoint.id))
+            if one.role is self._member.role
         ]
         region = self._region_by_zone.get(endpoint.zone)
         in_zone = [one for one in members if one.zone == endpoint.zone]
