Check the bound of cold endpoints with real gateways

Guards against a configuration, entry or setting that does not reach the limiter: two gateways get six times what four cold endpoints take. The test fails with `cold-per-s` 0.

--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -1,5 +1,8 @@
 """Endpoints that are cold get no more requests than they can take."""
 
+import pathlib
+import tempfile
+import time
 from typing import Any
 from typing import Final
 import unittest
@@ -17,9 +20,12 @@
 from eelgrassgate.store import memory
 from tests import site as site_lib
 from tests import test_batches
+from tests import test_config_sync
 from tests import test_endpoint_limits
+from tests import test_evacuations
 from tests import test_peering
 from tests import test_platform
+from tests.soak import environment as environment_lib
 
 PER_S: Final = 6.5
 START_S: Final = 6.0
@@ -321,3 +327,70 @@
             change = base.Change("servers/e", msgspec.json.encode(entry), 1)
             discovery._apply_endpoints((change,))
         self.assertEqual((seen, changes), ([2.0, 1.0, 0.0], [1]))
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    SECONDS: Final = 4.0
+    # About six times what the four endpoints take.
+    PER_S: Final = 160.0
+
+    async def test_real_gateways_respect_the_bound(self) -> None:
+        """All endpoints are cold, and callers want more than they take."""
+        with tempfile.TemporaryDirectory() as folder:
+            async with environment_lib.run_environment(
+                pathlib.Path(folder), 84
+            ) as site:
+                for number, one in enumerate(site.endpoints):
+                    await test_evacuations.register(
+                        site, number, "z1", cold_ms=60_000
+                    )
+                    one.behavior = endpoint.Behavior(events=1)
+                service = {
+                    "name": "engine",
+                    "max-connections": 300,
+                    "engine": {},
+                    "cold-start-s": START_S,
+                    "cold-per-s": PER_S,
+                }
+                key = {"name": "desk", "api-keys": [site_lib.KEY]}
+                await site.write_document(
+                    documents.CONFIG_KEY,
+                    {
+                        "version": 9,
+                        "routes": environment_lib.ROUTES,
+                        "services": [service],
+                        "tenants": [key],
+                    },
+                )
+                gateways = site.get_gateways()
+                for gateway in gateways:
+                    await test_evacuations.wait_until_ready(gateway)
+                await anyio.sleep(test_config_sync.MAX_DELAY_S)
+                statuses: list[int] = []
+                seen: list[tuple[float, list[int]]] = []
+
+                async def send(number: int) -> None:
+                    response = await site_lib.call(
+                        gateways[number % 2].callers_address,
+                        "/plain/a",
+                        request_id=f"r{number}",
+                    )
+                    statuses.append(response.status)
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(round(self.PER_S * self.SECONDS)):
+                        tasks.start_soon(send, number)
+                        await anyio.sleep(1.0 / self.PER_S)
+                        counts = [len(one.runs) for one in site.endpoints]
+                        seen.append((time.monotonic(), counts))
+                self.assertEqual(set(statuses), {200, 503})
+                for index in range(len(site.endpoints)):
+                    most = max(
+                        later[index] - earlier[index]
+                        for at, earlier in seen
+                        for later_at, later in seen
+                        if at <= later_at < at + 1.0
+                    )
+                    self.assertLessEqual(most, MAX_IN_A_SECOND)
+                    got = seen[-1][1][index] - seen[0][1][index]
+                    self.assertGreater(got, PER_S)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -44,6 +44,36 @@
     (await store.commit(base.Transaction((), (change,)))).unwrap()
 
 
+async def register(site: Any, number: int, zone: str, cold_ms: int = 0) -> None:
+    """Write the entry of an endpoint of a site of real processes."""
+    await site.write_document(
+        f"servers/{site.endpoints[number].name}",
+        {
+            "service": "engine",
+            "address": site.endpoint_proxies[number].address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-remaining-ms": cold_ms,
+            "sequence": 2,
+            "born": 1_800_000_000_000,
+        },
+    )
+
+
+async def wait_until_ready(daemon: Any) -> None:
+    with anyio.fail_after(TIMEOUT_S):
+        while True:
+            with contextlib.suppress(OSError):
+                response = await site_lib.call(
+                    daemon.ready_address, "/", method="GET", body=b""
+                )
+                if response.status == 200:
+                    return
+            await anyio.sleep(0.05)
+
+
 class StateTest(unittest.TestCase):
     def test_the_higher_revision_wins(self) -> None:
         evacuations = evacuations_lib.create_evacuations()
@@ -277,8 +307,8 @@
                 pathlib.Path(folder), 83
             ) as site:
                 first = site.daemons_by_name["front-1"]
-                await self.move(site, 1, "z2")
-                await self.wait_until_ready(first)
+                await register(site, 1, "z2")
+                await wait_until_ready(first)
                 await write(site.store, KEY, b"{}")
                 await anyio.sleep(EVACUATION_S)
                 evacuated = [site.endpoints[0], *site.endpoints[2:]]
@@ -288,7 +318,7 @@
                     if not is_lost:
                         await first.kill()
                         first.start()
-                        await self.wait_until_ready(first)
+                        await wait_until_ready(first)
                     for number in range(20):
                         response = await site_lib.call(
                             first.callers_address,
@@ -297,30 +327,3 @@
                         )
                         self.assertEqual(response.status, 200)
                 self.assertEqual([len(one.runs) for one in evacuated], runs)
-
-    async def move(self, site: Any, number: int, zone: str) -> None:
-        await site.write_document(
-            f"servers/{site.endpoints[number].name}",
-            {
-                "service": "engine",
-                "address": site.endpoint_proxies[number].address,
-                "zone": zone,
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "cold-remaining-ms": 0,
-                "sequence": 2,
-                "born": 1_800_000_000_000,
-            },
-        )
-
-    async def wait_until_ready(self, daemon: Any) -> None:
-        with anyio.fail_after(TIMEOUT_S):
-            while True:
-                with contextlib.suppress(OSError):
-                    response = await site_lib.call(
-                        daemon.ready_address, "/", method="GET", body=b""
-                    )
-                    if response.status == 200:
-                        return
-                await anyio.sleep(0.05)
