Start a shared watch where following ended, without a read

Cause: a process that becomes a watcher read the whole prefix first. Watchers change whenever one of them does not reach the store for a moment, so a slow store would have cost a read for each such change. Change: a mirror that a peer confirmed in the last 5 s watches from the settled revision on; changes that it knows are left out. Evidence: tests.test_shared_watches (SwitchTest, with and without a lost history; a late watcher; the connection of a follower), test_supervision and test_peering pass.

--- a/eelgrassgate/store/mirror.py
+++ b/eelgrassgate/store/mirror.py
@@ -26,6 +26,10 @@
 # How much longer than its longest wait a watch may take to answer. Covers an
 # answer of a slow store, 0.4 s, and a late event loop.
 WATCH_MARGIN_S: Final = 0.75
+# A watch starts without a full read only while the records were confirmed this
+# recently. The settled revision may be two answers of a watch older, and the
+# store keeps the changes of 20 s.
+MAX_START_AGE_S: Final = 5.0
 # Deletions that are kept for peers; a peer that is further behind gets all
 # records.
 MAX_KEPT_DELETIONS: Final = 1_000
@@ -129,6 +133,7 @@
         self._changed = anyio.Event()
         # In the order of their versions; entries of deleted keys included.
         self._entries_by_key: dict[str, _Entry] = {}
+        self._must_load = True
         # Changes up to this version may be missing among the entries.
         self._dropped_version = 0
         self.prefix = prefix
@@ -186,7 +191,7 @@
             if not self._sharing.is_watcher(self):
                 await self._sharing.follow(self)
                 continue
-            if await self._load():
+            if self._can_start() or await self._load():
                 backoff_s = MIN_BACKOFF_S
                 await self._watch()
             await anyio.sleep(backoff_s)
@@ -226,10 +231,18 @@
         return True
 
     def _is_newer(self, change: base.Change) -> bool:
-        """Return whether a peer's change is newer than the key's last one."""
+        """Return whether a change is newer than the key's last one."""
         known = self._entries_by_key.get(change.key)
         return known is None or known.revision < change.revision
 
+    def _can_start(self) -> bool:
+        """Return whether a watch can start without reading the prefix."""
+        return (
+            self.is_connected
+            and not self._must_load
+            and not deadlines.is_past(self.confirmed_at + MAX_START_AGE_S)
+        )
+
     async def _load(self) -> bool:
         """Read the whole prefix; return False if the store failed."""
         started_at = deadlines.now()
@@ -237,6 +250,7 @@
         if isinstance(answer, result.Failure):
             self.mark_disconnected(answer.failure().message)
             return False
+        self._must_load = False
         page = answer.unwrap()
         found_by_key = {one.key: one for one in page.records}
         self._mark_connected()
@@ -258,7 +272,7 @@
     async def _watch(self) -> None:
         """Apply changes until the watch ends or a peer's mirror replaces it."""
         answers: Any = self._store.watch(
-            self.prefix, self.revision + 1, max_wait_s=self.max_wait_s
+            self.prefix, self.settled_revision + 1, max_wait_s=self.max_wait_s
         )
         async with contextlib.aclosing(answers):
             while self._sharing.is_watcher(self):
@@ -276,10 +290,13 @@
                 changes = answer.unwrap()
                 if isinstance(changes, base.Compacted):
                     logs.log_message("mirror:compacted", prefix=self.prefix)
+                    self._must_load = True
                     return
                 self._mark_connected()
                 self._confirm(started_at, changes)
-                self._apply_changes(changes.changes, changes.revision)
+                # After a peer was followed, some of them are known.
+                found = tuple(filter(self._is_newer, changes.changes))
+                self._apply_changes(found, changes.revision)
                 if changes.changes:
                     # Batches further changes, as each call is billed.
                     await anyio.sleep(self._batch_delay_s)
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -20,6 +20,7 @@
 from eelgrassgate.platform import documents
 from eelgrassgate.store import base
 from eelgrassgate.store import causes
+from eelgrassgate.store import faulty
 from eelgrassgate.store import memory
 from eelgrassgate.store import mirror
 from tests import test_config_sync
@@ -283,6 +284,20 @@
                     found = one.discovery.endpoints_by_id["e"]
                     self.assertEqual(found.is_draining, state == "draining")
 
+    async def test_late_watcher_is_left_for_the_other_one(self) -> None:
+        """Guards against own watches although one watcher is current."""
+        async with run_fleet() as fleet:
+            late = fleet.list_watchers()[0].shared_watches
+            build = late._build_news
+
+            def build_late(position: Any, now: float) -> shared_watches.News:
+                return msgspec.structs.replace(build(position, now), age_s=10.0)
+
+            late._build_news = build_late  # type: ignore[method-assign]
+            for _ in range(50):
+                self.assertEqual(len(fleet.list_watchers()), 2)
+                await anyio.sleep(0.1)
+
     async def test_only_watchers_watch_the_store(self) -> None:
         """Guards against watches whose number grows with the fleet."""
         async with run_fleet() as fleet:
@@ -352,6 +367,78 @@
     )
 
 
+class _Switch:
+    """Sharing in which the test decides whether the mirror watches."""
+
+    def __init__(self) -> None:
+        self.must_watch = True
+
+    def is_watcher(self, mirror: mirror.Mirror) -> bool:
+        return self.must_watch
+
+    async def follow(self, mirror: mirror.Mirror) -> None:
+        while not self.must_watch:
+            await anyio.sleep(0.01)
+
+
+class SwitchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_watch_starts_at_what_a_peer_confirmed(self) -> None:
+        """Guards against a full read, or a step back, at each switch."""
+        store = faulty.create_faulty_store(
+            memory.create_memory_store(progress_interval_s=0.02)
+        )
+        switch = _Switch()
+        watched = mirror.create_mirror(
+            store, "", batch_delay_s=0.0, sharing=switch
+        )
+        seen: list[base.Change] = []
+        watched.subscribe(seen.extend)
+        for name, is_lost, reads in (
+            ("confirmed by a peer", False, 1),
+            ("the history is lost", True, 2),
+        ):
+            with self.subTest(name):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(watched.run)
+                    await self._wait(lambda: watched.revision > 0)
+                    switch.must_watch = False
+                    await anyio.sleep(0.2)
+                    settled = watched.settled_revision
+                    for value in (b"1", None, b"3"):
+                        await self._set("a", value, store)
+                    record = (await store.read("a")).unwrap()
+                    assert record is not None
+                    change = base.Change("a", b"3", record.revision)
+                    update = make_update(
+                        (change,), record.revision, settled=settled
+                    )
+                    self.assertTrue(watched.apply_update(update))
+                    if is_lost:
+                        store._inner.compact(record.revision)  # type: ignore
+                    seen.clear()
+                    before = store.counts.reads
+                    switch.must_watch = True
+                    await self._set("b", b"4", store)
+                    await self._wait(lambda: bool(seen))
+                    self.assertEqual([one.key for one in seen], ["b"])
+                    self.assertEqual(store.counts.reads - before, reads - 1)
+                    await self._set("b", None, store)
+                    tasks.cancel_scope.cancel()
+
+    async def _set(
+        self, key: str, value: bytes | None, store: base.Store
+    ) -> None:
+        change: base.Write | base.Delete = base.Delete(key)
+        if value is not None:
+            change = base.Write(key, value)
+        (await store.commit(base.Transaction((), (change,)))).unwrap()
+
+    async def _wait(self, is_met: Callable[[], bool]) -> None:
+        with anyio.fail_after(TIMEOUT_S):
+            while not is_met():
+                await anyio.sleep(0.01)
+
+
 class UpdateTest(unittest.IsolatedAsyncioTestCase):
     """A mirror that has "a" and "b" of 2 and 4; "c" was deleted at 5."""
 
@@ -398,6 +485,22 @@
                 if "b" in found:
                     self.assertEqual(found["b"].value, b"4")
 
+    async def test_connection_is_that_of_the_watcher(self) -> None:
+        """Guards against endpoints that are removed right after an outage."""
+        self.assertTrue(self.mirror.is_connected)
+        lost = make_update((), 9, is_connected=False)
+        self.assertFalse(self.mirror.apply_update(lost))
+        self.assertFalse(self.mirror.is_connected)
+        regained_at = deadlines.now()
+        self.assertTrue(self.mirror.apply_update(make_update((), 9)))
+        self.assertGreaterEqual(self.mirror.connected_since, regained_at)
+        # A short loss of the watcher's, between two polls.
+        again = msgspec.structs.replace(
+            make_update((), 10), connected_since=regained_at + 7.0
+        )
+        self.assertTrue(self.mirror.apply_update(again))
+        self.assertEqual(self.mirror.connected_since, regained_at + 7.0)
+
     async def test_changes_since_a_version(self) -> None:
         """Guards against changes that a follower misses."""
         version = self.mirror.version
