Let the stand-in of the store answer a poll with all changes up to now

Cause: it answered with the changes of one revision, so a mirror that pauses between polls fell behind for ever: with 34 endpoints that rewrite their entries, no watcher's records were at the revision that others knew. Change: a poll ends once the watch has to wait. Evidence: tests.test_store; its new test fails on the old stand-in. test_peering, test_odd_records, test_starts, test_intake, test_docs, test_endless_responses and test_memory_of_jobs pass.

--- a/eelgrassgate/standins/kv.py
+++ b/eelgrassgate/standins/kv.py
@@ -67,7 +67,7 @@
         after = int(query["after"])
         wait_s = int(query["wait-ms"]) / MS_PER_S
         events: list[dict[str, Any]] = []
-        with anyio.move_on_after(wait_s):
+        with anyio.move_on_after(wait_s) as scope:
             async for response in self._store.watch(query["prefix"], after + 1):
                 if isinstance(response, result.Failure):
                     return _respond_with_error(response.failure())
@@ -77,7 +77,9 @@
                 after = max(after, found.revision)
                 events.extend(_encode_change(one) for one in found.changes)
                 if events:
-                    break
+                    # The response has all changes up to now, so the poll ends
+                    # as soon as the watch has to wait.
+                    scope.deadline = anyio.current_time()
         return _respond({"events": events, "store-revision": after})
 
     async def commit(self, request: requests.Request) -> responses.Response:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -415,3 +415,17 @@
             (causes.Operation.WATCH, "servers"): 3,
         }
         self.assertEqual(store.calls.by_cause, expected)
+
+    async def test_one_poll_brings_all_changes_up_to_now(self) -> None:
+        """Guards against a stand-in that sends each revision by itself.
+
+        Readers that pause between polls then fall further and further behind.
+        """
+        async with open_kv() as fixture:
+            store: Any = fixture.store
+            revisions = [await put(store, "a", b"%d" % one) for one in range(3)]
+            watch = store.watch("a", revisions[0])
+            async with contextlib.aclosing(watch):
+                found = (await anext(watch)).unwrap()
+        self.assertEqual([one.revision for one in found.changes], revisions)
+        self.assertEqual(found.revision, revisions[-1])
