Count connections and let unproductive requests take turns

The metrics eelgrassgate_connections and eelgrassgate_connections_closed and the log line 'connection closed' tell how many connections each listener has and why it closed some. bench.memory_load has a load 'calm' that shows the processor time of small requests.

--- a/bench/memory_load.py
+++ b/bench/memory_load.py
@@ -58,6 +58,8 @@
 PIECE_BYTES: Final = 65_536
 WARM_UP_S: Final = 2.0
 NO_ANSWER: Final = "none"
+# Requests of each connection of the load `calm`, which takes no memory.
+CALM_REQUESTS: Final = 600
 # Number of clients that exceed the limits.
 CLIENTS: Final = 300
 
@@ -93,8 +95,9 @@
 class Row(msgspec.Struct, frozen=True):
     """What was measured under one load; times in milliseconds.
 
-    `gateway_descriptors` is the largest number of open descriptors;
-    `answer_after` the answer to a small request after the load.
+    `gateway_descriptors` is the largest number of open descriptors,
+    `gateway_cpu_s` the processor time during the load, and `answer_after` the
+    answer to a small request after it.
     """
 
     load: str
@@ -107,6 +110,7 @@
     small_p50_ms: float
     small_p99_ms: float
     took_s: float
+    gateway_cpu_s: float
     ended: tuple[str, ...]
     answer_after: str
 
@@ -291,6 +295,7 @@
         loads.append(Load(f"jobs-{count}-{items}-items", count, send_job))
     loads.append(Load("unread-200-6000k", 200, _leave_unread))
     loads.append(Load("half-heads-3000", 3000, _send_half_head))
+    loads.append(Load("calm", 8, _send_small_requests))
     return loads
 
 
@@ -323,6 +328,24 @@
     return Load(name, count, send)
 
 
+async def _send_small_requests(number: int) -> str:
+    """Send small requests on one connection, each after the last answer."""
+    body = small_requests.BODY
+
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for _ in range(CALM_REQUESTS):
+            head = _write_head(number, "/small/a", len(body), KEYS[0], "c")
+            writer.write(head + body)
+            await _read_answer(reader)
+
+    async def read(reader: asyncio.StreamReader) -> str:
+        return "200"
+
+    return await _exchange(send, read)
+
+
 def list_client_loads(count: int) -> list[Load]:
     """Return the loads of `count` clients that exceed the limits."""
     unread = client_loads.send_without_reading
@@ -487,6 +510,16 @@
         return 0
 
 
+def _read_cpu_s(process: processes.Process) -> float:
+    """Return the processor time of a process so far."""
+    create_process: Any = psutil.Process
+    try:
+        times = create_process(process.pid).cpu_times()
+    except psutil.Error:
+        return 0.0
+    return float(times.user + times.system)
+
+
 async def _send_small() -> str:
     """Return the answer to a small request."""
 
@@ -561,10 +594,12 @@
         ) as prober:
             await anyio.sleep(PROBER_START_S)
             started_at = time.monotonic()
+            cpu_before_s = _read_cpu_s(watched[0])
             async with anyio.create_task_group() as tasks:
                 for number in range(load.count):
                     tasks.start_soon(send_one, number)
             took_s = time.monotonic() - started_at
+            cpu_s = _read_cpu_s(watched[0]) - cpu_before_s
             await anyio.sleep(SETTLE_S)
             assert prober.stdin is not None
             assert prober.stdout is not None
@@ -585,6 +620,7 @@
         round(statistics.median(latencies_ms), 1),
         round(latencies_ms[int(len(latencies_ms) * 0.99)], 1),
         round(took_s, 1),
+        round(cpu_s, 3),
         tuple(one.name for one in watched if not one.is_running()),
         await _send_small(),
     )
--- a/eelgrassgate/gateway/daemon.py
+++ b/eelgrassgate/gateway/daemon.py
@@ -113,6 +113,9 @@
             min_stall_s=READINESS_MIN_STALL_S,
         )
 
+        node.metrics.observe_listener("callers", self._listener)
+        node.metrics.observe_listener("readiness", self._readiness_listener)
+
     def is_ready(self) -> bool:
         """Return whether the gateway accepts new requests."""
         return (
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -96,6 +96,18 @@
             ("task",),
             registry=self._registry,
         )
+        self._connections = prometheus_client.Gauge(
+            "eelgrassgate_connections",
+            "Open connections that were accepted, by listener.",
+            ("listener",),
+            registry=self._registry,
+        )
+        self._connections_closed = prometheus_client.Gauge(
+            "eelgrassgate_connections_closed",
+            "Connections that were closed for a limit, by listener and reason.",
+            ("listener", "reason"),
+            registry=self._registry,
+        )
         # Resident memory and open descriptors.
         prometheus_client.ProcessCollector(registry=self._registry)
 
@@ -126,6 +138,16 @@
                 functools.partial(budget.refused_by_kind.__getitem__, kind)
             )
 
+    def observe_listener(
+        self, name: str, listener: downstream.Listener
+    ) -> None:
+        """Show a listener's open connections and those that it has closed."""
+        self._connections.labels(name).set_function(listener.count_connections)
+        for reason in downstream.CloseReason:
+            self._connections_closed.labels(name, reason.value).set_function(
+                functools.partial(listener.closed_by_reason.__getitem__, reason)
+            )
+
     def record_loop_delay(self, seconds: float) -> None:
         """Record by how much a timer of the event loop was late."""
         self._loop_delay.observe(max(0.0, seconds))
@@ -241,6 +263,7 @@
             lambda: False,
             max_connections=MAX_CONNECTIONS,
         )
+        self.observe_listener("metrics", listener)
         async with anyio.create_task_group() as tasks:
             await tasks.start(listener.run)
             # No request depends on the metrics, so a taken address is tried
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -135,6 +135,7 @@
         self.relay = relay.create_relay(
             node_settings.store_address, self.budget
         )
+        self.metrics.observe_listener("relay", self.relay.listener)
         self.pool = upstream.create_pool(CONNECT_TIMEOUT_S)
         self.endpoint_limits = endpoint_limits.create_endpoint_limits(
             self.member,
--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import enum
 import functools
 import http
 import socket
@@ -23,6 +24,7 @@
 from eelgrassgate.http1 import pacing
 from eelgrassgate.http1 import sockets
 from eelgrassgate.http1 import streams
+from eelgrassgate.http1 import turns
 
 # Size of reads of heads and small bodies. It bounds what is held of a request
 # that has no account yet: a head within the default limit, or many small
@@ -232,6 +234,14 @@
         return self.content.data
 
 
+class CloseReason(enum.Enum):
+    """Why a connection is closed that its client could still use."""
+
+    UNREAD = "unread"
+    UNPRODUCTIVE = "unproductive"
+    CROWDED = "crowded"
+
+
 class _RefusedError(Exception):
     """A request that is refused before it was read to its end."""
 
@@ -253,11 +263,13 @@
     Attributes:
         began_at: Monotonic time since which the client has neither sent nor
             read anything; `NEVER` while nothing waits for it.
+        is_over: Whether the client has read nothing for `WRITE_TIMEOUT_S`.
     """
 
     def __init__(self) -> None:
         """Initialize for a connection that waits for nothing."""
         self.began_at = deadlines.NEVER
+        self.is_over = False
 
     def __enter__(self) -> None:
         """Begin to wait for the client."""
@@ -281,6 +293,7 @@
         if has_progress:
             self.began_at = deadlines.now()
         elif deadlines.is_past(self.began_at + WRITE_TIMEOUT_S):
+            self.is_over = True
             raise TimeoutError("the client doesn't read")
 
 
@@ -460,8 +473,12 @@
         is_closing: Callable[[], bool],
         admission: Admission,
         pacer: pacing.Pacer,
+        unproductive_turns: turns.Turns,
+        record_close: Callable[[CloseReason], None],
     ) -> None:
         """Wrap an accepted stream; see `Listener.serve`."""
+        self._unproductive_turns = unproductive_turns
+        self._record_close = record_close
         self._admission = admission
         self._account: RequestAccount = _NO_ACCOUNT
         self._pacer = pacer
@@ -504,6 +521,10 @@
             # A bug in handling one connection must not stop the process.
             logs.log_exception("connection failed")
         finally:
+            if self._stall.is_over:
+                self._record_close(CloseReason.UNREAD)
+            elif self._unproductive > MAX_UNPRODUCTIVE:
+                self._record_close(CloseReason.UNPRODUCTIVE)
             self._log_unread()
             self.is_idle = False
             is_cut = self._is_cut_without_framing()
@@ -540,6 +561,9 @@
     async def _serve_request(self) -> bool:
         """Read and handle a request; returns whether to keep the connection."""
         try:
+            if self._unproductive:
+                # Requests that were sent ahead would be handled in bursts.
+                await self._unproductive_turns.take()
             incoming = await self._read_request()
             if incoming is None or not await self._handle_request(incoming):
                 return False
@@ -880,6 +904,8 @@
 
     Attributes:
         is_listening: Whether connections are accepted.
+        closed_by_reason: Number of connections that were closed although their
+            clients could still use them.
     """
 
     def __init__(
@@ -901,6 +927,7 @@
         self._max_connections = max_connections
         self._admission = admission
         self._pacer = pacing.create_pacer()
+        self._unproductive_turns = turns.create_turns()
         self._read_limits = read_limits
         self._handle = handle
         self._is_closing = is_closing
@@ -910,6 +937,7 @@
         self._opening = 0
         self._listeners: Sequence[abc.Listener[Any]] = ()
         self.is_listening = False
+        self.closed_by_reason = dict.fromkeys(CloseReason, 0)
 
     def count_active(self) -> int:
         """Return the number of connections with a request in flight."""
@@ -1012,6 +1040,10 @@
                 self._opening += 1
                 self.tasks.start_soon(self._open, accepted)
 
+    def _record_close(self, reason: CloseReason) -> None:
+        self.closed_by_reason[reason] += 1
+        logs.log_message("connection closed", reason=reason.value)
+
     def _count_open(self) -> int:
         return len(self._connections) + self._opening
 
@@ -1034,6 +1066,7 @@
                 key=lambda one: one.stalled_since,
             )[:MAX_STALLED_CLOSED_AT_ONCE]
         for connection in unused:
+            self._record_close(CloseReason.CROWDED)
             await connection.close()
         await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
@@ -1083,6 +1116,8 @@
             self._is_closing,
             self._admission,
             self._pacer,
+            self._unproductive_turns,
+            self._record_close,
         )
         self._connections[connection] = None
         try:
--- a/eelgrassgate/http1/sockets.py
+++ b/eelgrassgate/http1/sockets.py
@@ -161,26 +161,29 @@
         return True
 
 
-def count_unacknowledged(opened: anyio.TypedAttributeProvider) -> int:
+def count_unacknowledged(stream: streams.Stream) -> int:
     """Return how many sent bytes the peer has no room for; 0 once closed.
 
     Bytes that the peer's system has received, but its program has not read,
     don't count.
     """
-    return _count_queued(opened, termios.TIOCOUTQ)
+    try:
+        return _count_queued(stream.fileno(), termios.TIOCOUTQ)
+    except (AttributeError, ValueError, OSError):
+        return 0
 
 
 def count_unread(opened: anyio.TypedAttributeProvider) -> int:
     """Return how many received bytes have not been read; 0 once closed."""
-    return _count_queued(opened, termios.FIONREAD)
-
-
-def _count_queued(opened: anyio.TypedAttributeProvider, request: int) -> int:
     try:
         raw: Any = opened.extra(abc.SocketAttribute.raw_socket)
-        count = fcntl.ioctl(raw.fileno(), request, bytes(INT.size))
+        return _count_queued(raw.fileno(), termios.FIONREAD)
     except (AttributeError, ValueError, OSError):
         return 0
+
+
+def _count_queued(descriptor: int, request: int) -> int:
+    count = fcntl.ioctl(descriptor, request, bytes(INT.size))
     return int(INT.unpack(count)[0])
 
 
--- a/eelgrassgate/http1/streams.py
+++ b/eelgrassgate/http1/streams.py
@@ -159,6 +159,11 @@
         if self._transport.is_closing():
             raise anyio.BrokenResourceError from self._protocol.error
 
+    def fileno(self) -> int:
+        """Return the descriptor; less than 0 once the connection is closed."""
+        # Cheaper than `extra`.
+        return self._raw_socket.fileno()
+
     def count_unsent(self) -> int:
         """Return how many bytes were not yet handed to the system."""
         return self._transport.get_write_buffer_size()
--- a/eelgrassgate/peering/relay.py
+++ b/eelgrassgate/peering/relay.py
@@ -84,6 +84,7 @@
     Attributes:
         job_handler: Handles calls about jobs; None if this process owns none.
         config_handler: Handles calls for the configuration.
+        listener: Accepts the connections of peers.
     """
 
     def __init__(self, address: str, budget: memory_budget.Budget) -> None:
@@ -93,7 +94,7 @@
         self.job_handler: downstream.Handler | None = None
         self.config_handler: downstream.Handler | None = None
         self._pool = upstream.create_pool(CONNECT_TIMEOUT_S)
-        self._listener = downstream.Listener(
+        self.listener = downstream.Listener(
             downstream.Limits,
             self._handle,
             lambda: False,
@@ -112,8 +113,8 @@
             binding.AddressUnavailableError: The address is taken.
         """
         async with anyio.create_task_group() as tasks:
-            await tasks.start(self._listener.run)
-            tasks.start_soon(self._listener.serve, address, give_up_at)
+            await tasks.start(self.listener.run)
+            tasks.start_soon(self.listener.serve, address, give_up_at)
 
     async def _handle(
         self,
