Learn the speed of each endpoint and place requests by it

Cause: placement knows the slots of an endpoint and one request duration for a whole service. Endpoints that are slower than the others, become slow for seconds or slow down before they are full get as many requests as the others, and their late first events are not part of the expected wait.

Change: `capacity.estimator` learns the time to the first event at three levels of load and the time between events, as ratios to the typical values of the service. Processes exchange decayed sums in a trailing field of the load reports. Placement adds a quarter of the difference of the first event to the cost, multiplies the wait for a slot by the pace, and adds the excess of the first event to the expected wait. Metrics show endpoints that differ.

--- /dev/null
+++ b/eelgrassgate/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Learned capacity of endpoints."""
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
 from eelgrassgate import outcomes
+from eelgrassgate.capacity import observer as observer_lib
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining
@@ -424,6 +425,10 @@
         request = self._dialect.write_attempt(call, attempt)
         progress.is_in_flight = True
         sent_at = deadlines.now()
+        is_stream = route.kind is catalog.Kind.STREAM
+        observer = self._placement.observe_response(
+            endpoint, is_stream=is_stream
+        )
         connection.stall_deadline = deadlines.after(idle_timeout_s)
         await connection.start(request, check_head)
         # Would keep the body after its release.
@@ -443,7 +448,6 @@
             raise upstream.ExchangeError("stream was not resumed", True)
         if status in SUCCESS_STATUSES and not info.is_signed:
             raise upstream.ExchangeError("response has no checksum", True)
-        is_stream = route.kind is catalog.Kind.STREAM
         with self._budget.open(
             memory_budget.Kind.RESPONSE, attempt.workspace
         ) as account:
@@ -456,6 +460,7 @@
                     progress,
                     idle_timeout_s,
                     account,
+                    observer,
                 )
             return await self._forward_buffered(
                 connection,
@@ -465,6 +470,7 @@
                 progress,
                 idle_timeout_s,
                 account,
+                observer,
             )
 
     async def _forward_buffered(
@@ -476,6 +482,7 @@
         progress: _Progress,
         idle_timeout_s: float,
         account: memory_budget.Account,
+        observer: observer_lib.Observer,
     ) -> Result:
         """Forward a response at once when it is complete.
 
@@ -496,6 +503,8 @@
         async for part in connection.iterate():
             if not can_retry:
                 connection.stall_deadline = deadlines.after(idle_timeout_s)
+            if not progress.has_output and head.status in SUCCESS_STATUSES:
+                observer.record_events(1)
             progress.has_output = True
             parts.append(part)
             size += len(part)
@@ -519,6 +528,8 @@
         if responder.has_begun:
             await responder.finish()
             return Result.DONE
+        if progress.has_output and head.status in SUCCESS_STATUSES:
+            observer.record_end()
         body = b"".join(parts)
         if can_retry:
             progress.failure = (head, body)
@@ -551,6 +562,7 @@
         progress: _Progress,
         idle_timeout_s: float,
         account: memory_budget.Account,
+        observer: observer_lib.Observer,
     ) -> Result:
         """Forward complete events, so that the stream can resume after any.
 
@@ -568,6 +580,8 @@
             if not complete_events:
                 continue
             progress.has_output = True
+            received_at = deadlines.now()
+            observer.record_events(len(complete_events))
             if not responder.has_begun:
                 account.try_grow(STREAM_BYTES)
                 if not route.is_resumable:
@@ -580,6 +594,7 @@
             progress.last_event = _find_last_id(
                 complete_events, progress.last_event
             )
+            observer.record_sent(received_at)
             # The time that the caller takes to read does not count.
             connection.stall_deadline = deadlines.after(idle_timeout_s)
         if splitter.has_partial_event() or not responder.has_begun:
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -5,14 +5,19 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
 import functools
 from typing import Final
 
 import anyio
 import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry as registry_lib
 
 from eelgrassgate import deadlines
 from eelgrassgate import memory_budget
+from eelgrassgate.capacity import estimator
 from eelgrassgate.http1 import downstream
 
 # Histogram buckets in seconds: latency objectives of online requests are
@@ -21,6 +26,9 @@
 # Maximum number of distinct label values; further ones are counted as `other`.
 MAX_LABEL_VALUES: Final = 1_000
 OTHER: Final = "other"
+# Maximum number of endpoints whose speed is shown, those first that differ most
+# from typical ones.
+MAX_SHOWN_ENDPOINTS: Final = 50
 OK: Final = 200
 _TEXT_HEADERS: Final = ((b"content-type", b"text/plain; version=0.0.4"),)
 
@@ -166,6 +174,12 @@
             registry=self._registry,
         ).set_function(count_limited)
 
+    def observe_capacity(
+        self, list_differing: Callable[[], Mapping[str, estimator.Estimate]]
+    ) -> None:
+        """Show the speed of endpoints that differ from typical ones."""
+        self._registry.register(_CapacityCollector(list_differing))
+
     def observe_draining(self, count_draining: Callable[[], int]) -> None:
         """Show the number of endpoints that drain."""
         prometheus_client.Gauge(
@@ -249,6 +263,50 @@
         await responder.reply(OK, _TEXT_HEADERS, self.render())
 
 
+class _CapacityCollector(registry_lib.Collector):
+    """Shows the learned speed of the endpoints that differ most."""
+
+    def __init__(
+        self, list_differing: Callable[[], Mapping[str, estimator.Estimate]]
+    ) -> None:
+        self._list_differing = list_differing
+
+    def collect(self) -> Iterator[core.GaugeMetricFamily]:
+        """Return the metrics at the time of a scrape."""
+        estimates = self._list_differing()
+        yield core.GaugeMetricFamily(
+            "eelgrassgate_differing_endpoints",
+            "Endpoints that are faster or slower than typical ones.",
+            len(estimates),
+        )
+        first = core.GaugeMetricFamily(
+            "eelgrassgate_endpoint_first_event_seconds",
+            "Expected seconds to the first event, by part of the slots in use.",
+            labels=("endpoint", "load"),
+        )
+        pace = core.GaugeMetricFamily(
+            "eelgrassgate_endpoint_pace_ratio",
+            "Seconds between events as a multiple of typical ones.",
+            labels=("endpoint",),
+        )
+        ranked = sorted(
+            estimates.items(),
+            key=lambda item: (
+                -max(
+                    *map(abs, item[1].excess_s_by_level),
+                    abs(item[1].pace - 1.0),
+                )
+            ),
+        )
+        for name, estimate in ranked[:MAX_SHOWN_ENDPOINTS]:
+            pace.add_metric((name,), estimate.pace)
+            for level, seconds in enumerate(estimate.first_s_by_level):
+                load = f"{level + 1}/{estimator.LEVELS}"
+                first.add_metric((name, load), seconds)
+        yield first
+        yield pace
+
+
 def create_metrics() -> Metrics:
     """Create the metrics of a process."""
     return Metrics()
--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -14,6 +14,7 @@
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
 from eelgrassgate import supervision
+from eelgrassgate.capacity import estimator
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import config_sync
@@ -81,6 +82,16 @@
     batch_dialect: batch_calls.BatchDialect
 
 
+class _CapacityListener(reports_lib.ReportListener):
+    """Passes on what peers report of the speed of endpoints."""
+
+    def __init__(self, capacity: estimator.Estimator) -> None:
+        self._capacity = capacity
+
+    def handle_report(self, report: reports_lib.Report) -> None:
+        self._capacity.set_peer_report(report.name, report.capacity)
+
+
 class Node:
     """The shared components of one process."""
 
@@ -144,6 +155,10 @@
         self.reports.set_limits_source(self.endpoint_limits.list_limits)
         self.reports.subscribe(self.endpoint_limits)
         self.metrics.observe_endpoint_limits(self.endpoint_limits.count_limited)
+        self.capacity = estimator.create_estimator()
+        self.reports.set_capacity_source(self.capacity.build_report)
+        self.reports.subscribe(_CapacityListener(self.capacity))
+        self.metrics.observe_capacity(self.capacity.list_differing)
         self.draining = draining_lib.create_draining_endpoints()
         self.metrics.observe_draining(self.draining.count)
         self.placement = placement_lib.create_placement(
@@ -153,6 +168,7 @@
             self.draining,
             node_settings.zone,
             node_settings.region_by_zone,
+            capacity=self.capacity,
         )
         config = config_sync.create_config_sync(
             adapters.store,
--- a/eelgrassgate/gateway/placement.py
+++ b/eelgrassgate/gateway/placement.py
@@ -11,6 +11,8 @@
 
 from eelgrassgate import deadlines
 from eelgrassgate import outcomes
+from eelgrassgate.capacity import estimator as estimator_lib
+from eelgrassgate.capacity import observer
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining as draining_lib
 from eelgrassgate.gateway import endpoint_limits as endpoint_limits_lib
@@ -26,6 +28,10 @@
 FULL_ENDPOINT_COST_S: Final = 0.02
 # Load reports are delayed, so ties between endpoints are broken at random.
 MAX_JITTER_S: Final = 0.004
+# Part of the difference in the first event that counts as a cost. A slower
+# endpoint still meets the objective; with the full difference all processes
+# prefer the same fast endpoints, and more requests queue there and are late.
+DIFFERENCE_WEIGHT: Final = 0.25
 # A failed request is worth as little as one that waits this long; a failure
 # rate of a few percent costs as much as another zone.
 FAILURE_COST_S: Final = 1.0
@@ -72,6 +78,7 @@
     Attributes:
         endpoint_limits: The limits that endpoints have named.
         draining: The endpoints that drain; they get no new requests.
+        capacity: How fast each endpoint responds.
     """
 
     def __init__(
@@ -83,8 +90,10 @@
         zone: str,
         region_by_zone: Mapping[str, str],
         clock: Callable[[], float],
+        capacity: estimator_lib.Estimator,
     ) -> None:
         """Initialize without endpoints; see `create_placement`."""
+        self.capacity = capacity
         self._loads = load_table
         self._failures = failures
         self.endpoint_limits = endpoint_limits
@@ -106,6 +115,9 @@
         """Replace the endpoints; draining ones get no new requests."""
         self._endpoints_by_id = dict(endpoints)
         self.draining.set_endpoints(endpoints)
+        self.capacity.set_endpoints(
+            {one.id: (one.service, one.started) for one in endpoints.values()}
+        )
         self._group_endpoints()
         for name in list(self._backoffs_by_endpoint):
             if name not in endpoints:
@@ -172,6 +184,7 @@
         An endpoint whose limit allows no request now is chosen only if that is
         so for all.
         """
+        self.capacity.refresh()
         best: catalog.Endpoint | None = None
         best_cost = (0.0, 0.0)
         for endpoint in self.get_endpoints(service):
@@ -185,7 +198,8 @@
                 best, best_cost = endpoint, cost
         if best is None:
             return None
-        return Choice(best, self.estimate_wait(best), best_cost[0])
+        wait_s = max(0.0, self.estimate_wait(best))
+        return Choice(best, wait_s, best_cost[0])
 
     def compute_limit_wait(self, endpoint: catalog.Endpoint) -> float:
         """Return the seconds until an endpoint's limit allows a request."""
@@ -215,8 +229,19 @@
         return are_all
 
     def _estimate_cost(self, endpoint: catalog.Endpoint) -> float:
-        utilization = self._loads.count_in_flight(endpoint.id) / endpoint.slots
-        cost = self.estimate_wait(endpoint) + utilization * FULL_ENDPOINT_COST_S
+        online = self._loads.count_in_flight_of_class(
+            endpoint.id, outcomes.RequestClass.ONLINE
+        )
+        batch = self._loads.count_in_flight_of_class(
+            endpoint.id, outcomes.RequestClass.BATCH
+        )
+        cost = FULL_ENDPOINT_COST_S * (online + batch) / endpoint.slots
+        estimate = self.capacity.get_estimate(endpoint.id, endpoint.service)
+        level = estimator_lib.compute_level(online + 1, endpoint.slots)
+        cost += DIFFERENCE_WEIGHT * estimate.difference_s_by_level[level]
+        ahead = online + 1 - endpoint.slots
+        if ahead > 0:
+            cost += ahead * self._estimate_slot_interval(endpoint, estimate)
         cost += self.estimate_distance_cost(endpoint.zone)
         cost += self._failures.get_failure_rate(endpoint.id) * FAILURE_COST_S
         cost += random.random() * MAX_JITTER_S
@@ -240,20 +265,53 @@
         return OTHER_REGION_COST_S
 
     def estimate_wait(self, endpoint: catalog.Endpoint) -> float:
-        """Return how long a new online request would wait for a slot.
+        """Return by how much a new online request's first event would be late.
 
-        Batch items are not counted because online requests preempt them.
+        That is the wait for a slot and the excess over a typical endpoint with
+        little load, negative at a faster endpoint. Batch items are not counted
+        because online requests preempt them.
         """
         online = self._loads.count_in_flight_of_class(
             endpoint.id, outcomes.RequestClass.ONLINE
         )
+        estimate = self.capacity.get_estimate(endpoint.id, endpoint.service)
+        level = estimator_lib.compute_level(online + 1, endpoint.slots)
+        wait_s = estimate.excess_s_by_level[level]
         ahead = online + 1 - endpoint.slots
-        if ahead <= 0:
-            return 0.0
+        if ahead > 0:
+            wait_s += ahead * self._estimate_slot_interval(endpoint, estimate)
+        return wait_s
+
+    def _estimate_slot_interval(
+        self, endpoint: catalog.Endpoint, estimate: estimator_lib.Estimate
+    ) -> float:
+        """Return the seconds between releases of slots of a full endpoint."""
         duration_s = self._request_duration_s_by_service.get(
             endpoint.service, INITIAL_REQUEST_DURATION_S
         )
-        return ahead * duration_s / endpoint.slots
+        return estimate.pace * duration_s / endpoint.slots
+
+    def observe_response(
+        self, endpoint: catalog.Endpoint, *, is_stream: bool
+    ) -> observer.Observer:
+        """Observe the response to a request that is being sent.
+
+        The request already counts as in flight.
+        """
+        in_flight = self._loads.count_in_flight(endpoint.id)
+        level: int | None = None
+        if in_flight <= endpoint.slots and self._is_in_region(endpoint.zone):
+            level = estimator_lib.compute_level(in_flight, endpoint.slots)
+        return observer.create_observer(
+            self.capacity, endpoint.id, level, self._clock, is_stream=is_stream
+        )
+
+    def _is_in_region(self, zone: str) -> bool:
+        """Return whether `zone` is in this process's region."""
+        return zone == self._zone or (
+            self._region_by_zone.get(zone)
+            == self._region_by_zone.get(self._zone)
+        )
 
     def record_success(
         self, endpoint: catalog.Endpoint, duration_s: float | None = None
@@ -305,6 +363,7 @@
     zone: str,
     region_by_zone: Mapping[str, str],
     clock: Callable[[], float] = deadlines.now,
+    capacity: estimator_lib.Estimator | None = None,
 ) -> Placement:
     """Create a placement.
 
@@ -316,6 +375,7 @@
         zone: Availability zone of this process.
         region_by_zone: Region of each availability zone.
         clock: Returns seconds on a monotonic clock.
+        capacity: What is known of the speed of endpoints; nothing by default.
     """
     return Placement(
         load_table,
@@ -325,4 +385,5 @@
         zone,
         region_by_zone,
         clock,
+        estimator_lib.create_estimator(clock) if capacity is None else capacity,
     )
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -14,6 +14,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
+from eelgrassgate.capacity import estimator
 from eelgrassgate.peering import datagrams
 from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
@@ -81,6 +82,7 @@
         quarantine: What crashes endpoints, and evidence for it.
         limits_by_endpoint: Versions and limits in requests a second of
             endpoints that name one; None for a limit that was lifted.
+        capacity: How fast endpoints respond.
     """
 
     name: str
@@ -101,6 +103,7 @@
     limits_by_endpoint: dict[
         str, tuple[decoding.Count, decoding.Amount | None]
     ] = {}
+    capacity: estimator.Report = estimator.Report()
 
 
 class Peer(msgspec.Struct):
@@ -159,6 +162,9 @@
         self._list_limits: Callable[[], dict[str, tuple[int, float | None]]] = (
             dict
         )
+        self._build_capacity_report: Callable[[], estimator.Report] = (
+            estimator.Report
+        )
 
     def set_config_source(self, read: Callable[[], ConfigStatus]) -> None:
         """Set what the reports tell of this process's configuration."""
@@ -170,6 +176,12 @@
         """Set what the reports tell of the limits of endpoints."""
         self._list_limits = list_limits
 
+    def set_capacity_source(
+        self, build_report: Callable[[], estimator.Report]
+    ) -> None:
+        """Set what the reports tell of the speed of endpoints."""
+        self._build_capacity_report = build_report
+
     def get_peers(self) -> dict[registry.Member, Peer]:
         """Return the live processes that report, by their registration."""
         members = self._directory.members_by_name
@@ -480,6 +492,7 @@
             self._read_config_status(),
             self._quarantine.build_report(),
             self._list_limits(),
+            self._build_capacity_report(),
         )
         return _ENCODER.encode(report)
 
--- a/tests/load_peaks.py
+++ b/tests/load_peaks.py
@@ -35,6 +35,9 @@
 # Callers wait at most a third of their timeout of 5 s and retry once.
 MAX_RETRY_DELAY_S: Final = 1.67
 GATEWAY_COUNT: Final = 24
+# Events of a response, and how many arrive between two samples of its pace.
+EVENT_INTERVAL_S: Final = 0.04
+EVENTS_PER_SAMPLE: Final = 4
 REGION_BY_ZONE: Final = {f"z{one}": f"r{one % 2}" for one in range(6)}
 ZONES: Final = tuple(REGION_BY_ZONE)
 
@@ -57,11 +60,52 @@
     rejected: int = 0
 
 
+# Returns by which factor an endpoint is slower than a typical one, from its
+# number, the time and the part of its slots in use.
+Slowness = Callable[[int, float, float], float]
+
+
+def be_typical(endpoint: int, now: float, utilization: float) -> float:
+    """All endpoints have the same speed."""
+    return 1.0
+
+
+def be_mixed(endpoint: int, now: float, utilization: float) -> float:
+    """Endpoints have the speeds that were observed: 0.6, 1 and 1.6."""
+    return (1.0 / 0.6, 1.0, 1.0 / 1.6)[endpoint // 6 % 3]
+
+
+def be_slow_in_turn(endpoint: int, now: float, utilization: float) -> float:
+    """A sixth of the endpoints is five times slower for 6 s, in turn."""
+    is_slow = int(now / 6.0) % 6 == (endpoint + endpoint // 6) % 6
+    return 5.0 if is_slow else be_mixed(endpoint, now, utilization)
+
+
+def be_slow_when_half_full(
+    endpoint: int, now: float, utilization: float
+) -> float:
+    """A third of the endpoints slows down long before it is full."""
+    if endpoint // 6 % 3:
+        return 1.0
+    return 1.0 + 8.0 * max(0.0, utilization - 0.5)
+
+
 class Simulation:
     """One simulation of peaks at `rate_per_s` on a number of endpoints."""
 
-    def __init__(self, seed: int, rate_per_s: float, endpoints: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        rate_per_s: float,
+        endpoints: int,
+        slowness: Slowness = be_typical,
+        *,
+        is_learning: bool = True,
+    ) -> None:
         self.outcome = Outcome()
+        self._slowness = slowness
+        self._is_learning = is_learning
+        self.sent_by_endpoint: dict[str, int] = {}
         self._random = random.Random(seed)
         self._rate_per_s = rate_per_s
         self._now = 0.0
@@ -134,9 +178,13 @@
 
         def send_report() -> None:
             online, _ = self._tables[source].get_own_counts()
+            capacity = self._placements[source].capacity.build_report()
 
             def receive_report() -> None:
                 self._tables[target].set_peer_counts(f"g{source}", online, {})
+                self._placements[target].capacity.set_peer_report(
+                    f"g{source}", capacity
+                )
 
             self._schedule(self._now + latency_s, receive_report)
             self._schedule(self._now + interval_s, send_report)
@@ -170,19 +218,42 @@
             endpoint.id, outcomes.RequestClass.ONLINE
         )
         tracking.__enter__()
+        placement = self._placements[gateway]
+        observer = placement.observe_response(endpoint, is_stream=True)
+        sent = self.sent_by_endpoint
+        sent[endpoint.id] = sent.get(endpoint.id, 0) + 1
 
         def begin() -> None:
             self._busy[endpoint.id] += 1
-            if self._now - arrived + FIRST_BYTE_DELAY_S > OBJECTIVE_S:
+            factor = self._slowness(
+                int(endpoint.id[1:]),
+                self._now,
+                self._busy[endpoint.id] / SLOTS,
+            )
+            first_s = factor * FIRST_BYTE_DELAY_S
+            if self._now - arrived + first_s > OBJECTIVE_S:
                 self.outcome.late += 1
             elif is_retry:
                 self.outcome.on_time_after_retry += 1
             else:
                 self.outcome.on_time += 1
+            duration_s = REQUEST_DURATION_S * self._random.uniform(0.7, 1.3)
+            ends_at = self._now + factor * duration_s
+            self._schedule(ends_at, end)
+            if not self._is_learning:
+                return
+            # Prompts differ, and so does the time to the first event.
+            first_s *= self._random.uniform(0.6, 1.4)
             self._schedule(
-                self._now + REQUEST_DURATION_S * self._random.uniform(0.7, 1.3),
-                end,
+                self._now + first_s, lambda: observer.record_events(1)
             )
+            sample_s = factor * EVENT_INTERVAL_S * EVENTS_PER_SAMPLE
+            when = self._now + first_s + sample_s
+            while when < ends_at:
+                self._schedule(
+                    when, lambda: observer.record_events(EVENTS_PER_SAMPLE)
+                )
+                when += sample_s
 
         def end() -> None:
             self._busy[endpoint.id] -= 1
