--- a/eelgrassgate/gateway/node.py
+++ b/eelgrassgate/gateway/node.py
@@ -14,6 +14,7 @@
 from eelgrassgate import logs
 from eelgrassgate import memory_budget
 from eelgrassgate import supervision
+from eelgrassgate.capacity import estimator
 from eelgrassgate.gateway import batch_calls
 from eelgrassgate.gateway import calls
 from eelgrassgate.gateway import catalog
@@ -93,6 +94,16 @@
     batch_dialect: batch_calls.BatchDialect
 
 
+class _CapacityListener(reports_lib.ReportListener):
+    """Passes on what peers report of the speed of endpoints."""
+
+    def __init__(self, capacity: estimator.Estimator) -> None:
+        self._capacity = capacity
+
+    def handle_report(self, report: reports_lib.Report) -> None:
+        self._capacity.set_peer_report(report.name, report.capacity)
+
+
 class Node:
     """The shared components of one process."""
 
@@ -169,6 +180,10 @@
         self.metrics.observe_endpoint_limits(
             self.endpoint_limits.count_limited, self.endpoint_limits.count_cold
         )
+        self.capacity = estimator.create_estimator()
+        self.reports.set_capacity_source(self.capacity.build_report)
+        self.reports.subscribe(_CapacityListener(self.capacity))
+        self.metrics.observe_capacity(self.capacity.list_differing)
         self.draining = draining_lib.create_draining_endpoints()
         self.metrics.observe_draining(self.draining.count)
         self.placement = placement_lib.create_placement(
@@ -178,6 +193,7 @@
             self.draining,
             node_settings.zone,
             node_settings.region_by_zone,
+            capacity=self.capacity,
         )
         evacuations = evacuations_lib.create_evacuations()
         evacuations.subscribe(self.draining.set_evacuated_zones)
--- a/eelgrassgate/peering/reports.py
+++ b/eelgrassgate/peering/reports.py
@@ -14,6 +14,7 @@
 from eelgrassgate import deadlines
 from eelgrassgate import decoding
 from eelgrassgate import logs
+from eelgrassgate.capacity import estimator
 from eelgrassgate.peering import datagrams
 from eelgrassgate.peering import failures as failures_lib
 from eelgrassgate.peering import loads
@@ -97,6 +98,7 @@
             endpoints that name one; None for a limit that was lifted.
         cold_by_endpoint: Versions and seconds left of endpoints that are cold.
         evacuations: The evacuated zones.
+        capacity: How fast endpoints respond.
     """
 
     name: str
@@ -119,6 +121,7 @@
     ] = {}
     cold_by_endpoint: dict[str, tuple[decoding.Count, decoding.Amount]] = {}
     evacuations: EvacuationStatus = EvacuationStatus()
+    capacity: estimator.Report = estimator.Report()
 
 
 class Peer(msgspec.Struct):
@@ -181,6 +184,9 @@
         self._read_evacuations: Callable[[], EvacuationStatus] = (
             EvacuationStatus
         )
+        self._build_capacity_report: Callable[[], estimator.Report] = (
+            estimator.Report
+        )
 
     def set_config_source(self, read: Callable[[], ConfigStatus]) -> None:
         """Set what the reports tell of this process's configuration."""
@@ -204,6 +210,12 @@
         """Set what the reports tell of cold endpoints."""
         self._list_colds = list_colds
 
+    def set_capacity_source(
+        self, build_report: Callable[[], estimator.Report]
+    ) -> None:
+        """Set what the reports tell of the speed of endpoints."""
+        self._build_capacity_report = build_report
+
     def get_peers(self) -> dict[registry.Member, Peer]:
         """Return the live processes that report, by their registration."""
         members = self._directory.members_by_name
@@ -522,6 +534,7 @@
             self._list_limits(),
             self._list_colds(),
             self._read_evacuations(),
+            self._build_capacity_report(),
         )
         return _ENCODER.encode(report)
 
