Tell why the items of a job wait

Cause: the reason why no endpoint may take a request was logged and counted for online requests only, and not for quarantined ones.

Change: the line `items wait` names the reason on each change of it; the counter has jobs and quarantined requests as well.

--- a/eelgrassgate/batches/owner.py
+++ b/eelgrassgate/batches/owner.py
@@ -142,6 +142,8 @@
         self._cached_by_id: dict[str, ownership.OwnedJob] = {}
         self._unclaimed_since_by_job: dict[str, float] = {}
         self._owned_by_id: dict[str, ownership.OwnedJob] = {}
+        # Why no endpoint may run their items; empty if there is none.
+        self._wait_reasons_by_job: dict[str, str] = {}
         self._runs: list[_Run] = []
         self._paused_until_by_item: dict[str, float] = {}
         self._run_time_estimator = scheduling.RunTimeEstimator()
@@ -396,6 +398,7 @@
             if self._owned_by_id.get(name) is owned:
                 del self._owned_by_id[name]
             self._unclaimed_since_by_job.pop(name, None)
+            self._wait_reasons_by_job.pop(owned.id, None)
             if owned.is_open():
                 owned.release_memory()
         if not owned.is_open():
@@ -536,6 +539,7 @@
                 regions=regions,
             )
             if endpoint is None:
+                self._explain_wait(owned, service, regions)
                 if not progress.failed_endpoints:
                     full.add((service, regions))
                 continue
@@ -549,6 +553,26 @@
             )
             self._start_item(tasks, owned, progress, endpoint, route)
 
+    def _explain_wait(
+        self,
+        owned: ownership.OwnedJob,
+        service: str,
+        regions: frozenset[str] | None,
+    ) -> None:
+        """Log and count why no endpoint may run a job's items, on a change."""
+        if self._placement.has_endpoints(service, regions):
+            return
+        absence = self._placement.explain_absence(service, regions)
+        reason = "" if absence is None else absence.value
+        if self._wait_reasons_by_job.get(owned.id) == reason:
+            return
+        self._wait_reasons_by_job[owned.id] = reason
+        logs.log_message(
+            "items wait", job=owned.id, service=service, reason=reason
+        )
+        if reason:
+            self._metrics.count_ineligible(reason)
+
     def _load_bodies(self, tasks: abc.TaskGroup) -> None:
         """Read the bodies of the most urgent items that lack them."""
         found = None if self._is_loading_part else self._find_unloaded()
@@ -742,6 +766,7 @@
         route: catalog.Route,
     ) -> None:
         owned.running[progress.item.id] = progress
+        self._wait_reasons_by_job.pop(owned.id, None)
         self._placement.record_sending(endpoint)
         run = _Run(
             owned, progress, endpoint, anyio.CancelScope(), deadlines.now()
--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -665,10 +665,12 @@
             await self._reply_failure(call, progress, responder, "quarantined")
             return
         retry_after_s = self._quarantine.compute_remaining(suspect)
+        reason = eligibility.Reason.QUARANTINED.value
+        self._metrics.count_ineligible(reason)
         logs.log_message(
             "refused",
             id=call.id,
-            reason="quarantined",
+            reason=reason,
             suspect=suspect,
             return_ms=round(retry_after_s * deadlines.MS_PER_S),
         )
--- a/eelgrassgate/gateway/metrics.py
+++ b/eelgrassgate/gateway/metrics.py
@@ -70,7 +70,7 @@
         )
         self._ineligible = prometheus_client.Counter(
             "eelgrassgate_ineligible_requests",
-            "Requests that no endpoint was allowed to take, by reason.",
+            "Requests and jobs that no endpoint might take, by reason.",
             ("reason",),
             registry=self._registry,
         )
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -261,8 +261,11 @@
             await test_batches.submit(harness.store, 2)
             await anyio.sleep(0.4)
             self.assertEqual([one.runs for one in harness.endpoints], [[], []])
+            reasons = harness.owner._wait_reasons_by_job
+            self.assertEqual(reasons, {test_batches.JOB: "evacuated"})
             draining.set_evacuated_zones(frozenset())
             self.assertEqual(len(await harness.read_all()), 2)
+            await harness.wait(lambda: not reasons)
 
 
 class FleetTest(unittest.IsolatedAsyncioTestCase):
