Test how responses of watchers are read; keep the watch of open jobs as it was

Cause: the end of a silent watch after its longest wait was new for the open jobs as well, which are not shared. Change: only shared mirrors end a silent watch themselves. Tests of malformed responses and of one that is read late. Evidence: tests.test_shared_watches, test_supervision, test_peering, test_batch_daemon and test_docs pass.

--- a/eelgrassgate/store/mirror.py
+++ b/eelgrassgate/store/mirror.py
@@ -302,8 +302,11 @@
                     await anyio.sleep(self._batch_delay_s)
 
     def _get_timeout_s(self) -> float:
-        """Return after how many seconds without an answer a watch fails."""
-        if self.max_wait_s is None:
+        """Return after how many seconds without an answer a watch fails.
+
+        Where no peer follows, the store's own timeout is enough.
+        """
+        if self.max_wait_s is None or self._sharing is _NO_SHARING:
             return deadlines.NEVER
         return self.max_wait_s + WATCH_MARGIN_S
 
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import Final
 import unittest
+import zlib
 
 import anyio
 import msgspec
@@ -439,6 +440,54 @@
                 await anyio.sleep(0.01)
 
 
+def make_news(
+    changes: Any, prefix: str = "p/", packed: bytes | None = None
+) -> shared_watches.News:
+    if packed is None:
+        packed = zlib.compress(msgspec.msgpack.encode(changes))
+    return shared_watches.News(
+        prefix, 1, packed, False, 9, 9, 9, True, 5.0, 0.5
+    )
+
+
+class NewsTest(unittest.TestCase):
+    def test_malformed_changes_are_refused(self) -> None:
+        """Guards against state from a peer's error, and against its size."""
+        good = [("p/a", b"1", 2), ("p/b", None, 3)]
+        update = shared_watches._read_update(make_news(good), 0.0)
+        self.assertEqual([one.key for one in update.changes], ["p/a", "p/b"])
+        whole = zlib.compress(msgspec.msgpack.encode(good))
+        size = shared_watches.MAX_CHANGES_BYTES + 1
+        for name, news in (
+            ("a key of another prefix", make_news([("q/a", b"1", 2)])),
+            ("a negative revision", make_news([("p/a", b"1", -2)])),
+            ("a value of another type", make_news([("p/a", 7, 2)])),
+            ("not a list", make_news(7)),
+            ("not compressed", make_news((), packed=b"\x90")),
+            ("truncated", make_news((), packed=whole[:-1])),
+            ("too large", make_news((), packed=zlib.compress(b" " * size))),
+        ):
+            with (
+                self.subTest(name),
+                self.assertRaises(
+                    (shared_watches.InvalidResponseError, msgspec.MsgspecError)
+                ),
+            ):
+                shared_watches._read_update(news, 0.0)
+
+    def test_response_that_is_read_late_confirms_nothing_newer(self) -> None:
+        """Guards against a frozen process that trusts an old response."""
+        now = deadlines.now()
+        for name, sent_at, expected in (
+            ("read at once", now, now - 0.5),
+            ("read a minute later", now - 60.0, now - 60.5),
+            ("a wait longer than since the poll", now + 60.0, now - 0.5),
+        ):
+            with self.subTest(name):
+                update = shared_watches._read_update(make_news(()), sent_at)
+                self.assertAlmostEqual(update.confirmed_at, expected, delta=0.2)
+
+
 class UpdateTest(unittest.IsolatedAsyncioTestCase):
     """A mirror that has "a" and "b" of 2 and 4; "c" was deleted at 5."""
 
