--- a/eelgrassgate/batches/results.py
+++ b/eelgrassgate/batches/results.py
@@ -39,6 +39,9 @@
 OWNER_TIMEOUT_S: Final = 0.4
 # Processes queried before the store: the likely owner and its successor.
 MAX_OWNERS_QUERIED: Final = 2
+# Jobs that are looked up at the same time. Each lookup takes a connection to an
+# owner or to the store; callers may ask for any number of unknown jobs.
+MAX_LOOKUPS: Final = 32
 # Interval of reads of a job's head while a caller waits for results and no
 # owner responds.
 HEAD_POLL_INTERVAL_S: Final = 0.4
@@ -120,6 +123,7 @@
         self._directory = directory
         self._is_reachable = is_reachable
         self._pool = upstream.create_pool(OWNER_TIMEOUT_S)
+        self._lookups = anyio.Semaphore(MAX_LOOKUPS)
         self._jobs_by_id: OrderedDict[str, records.Job] = OrderedDict()
         self._owners_by_job: dict[str, str] = {}
         self._values_by_key: OrderedDict[str, bytes] = OrderedDict()
@@ -141,16 +145,24 @@
         """
         found = self._jobs_by_id.get(job)
         if found is None:
-            found = await self._fetch_record(job)
+            async with self._lookups:
+                found = await self._look_up(job)
         if found is None:
-            key = f"{records.JOBS}{records.quote(job)}"
-            record = await _read(self._store, key)
-            if record is None:
-                return None
-            found = _decode(records.decode_job, record.value)
+            return None
         self._cache_job(found)
         return found if found.workspace == workspace else None
 
+    async def _look_up(self, job: str) -> records.Job | None:
+        """Read a job from its likely owner, or else from the store."""
+        found = await self._fetch_record(job)
+        if found is not None:
+            return found
+        key = f"{records.JOBS}{records.quote(job)}"
+        record = await _read(self._store, key)
+        if record is None:
+            return None
+        return _decode(records.decode_job, record.value)
+
     async def _fetch_record(self, job: str) -> records.Job | None:
         """Fetch a job's record, which is immutable, from the likely owner."""
         for member in self._rank_owners(job)[:1]:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -488,6 +488,31 @@
     return [one.id for one in listing.results]
 
 
+class LookupTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a connection to the store for each unknown job."""
+
+    async def test_lookups_at_the_same_time_are_bounded(self) -> None:
+        store = make_store()
+        read = store.read
+        running = 0
+        largest = 0
+
+        async def read_slowly(key: str) -> Any:
+            nonlocal running, largest
+            running += 1
+            largest = max(largest, running)
+            await anyio.sleep(0.01)
+            running -= 1
+            return await read(key)
+
+        with mock.patch.object(store, "read", read_slowly):
+            reader = make_reader(store)
+            async with anyio.create_task_group() as tasks:
+                for number in range(3 * results.MAX_LOOKUPS):
+                    tasks.start_soon(reader.find_job, f"j{number}", "w")
+        self.assertEqual(largest, results.MAX_LOOKUPS)
+
+
 class FakeRegistration:
     """A registration whose lease is set by the test."""
 
