--- a/eelgrassgate/http1/downstream.py
+++ b/eelgrassgate/http1/downstream.py
@@ -448,7 +448,7 @@
         """
         while True:
             left = _count_left(self._stream)
-            with anyio.move_on_after(MIN_STALL_S):
+            with anyio.move_on_after(UNREAD_POLL_INTERVAL_S):
                 await self._stream.flush()
                 return
             self._stall.check(_count_left(self._stream) < left)
--- a/tests/test_stalled_clients.py
+++ b/tests/test_stalled_clients.py
@@ -124,6 +124,9 @@
                         send_all(client, REQUEST * MANY)
                         await self.wait_for_connections(listener, 1)
                         await self.wait_for_connections(listener, 0)
+                self.assertEqual(
+                    listener.closed_by_reason[downstream.CloseReason.UNREAD], 1
+                )
 
     async def test_client_that_reads_slowly_gets_the_whole_response(
         self,
@@ -151,12 +154,17 @@
         for status, count in ((404, limit + 1), (401, limit + 1), (200, MANY)):
             with self.subTest(status):
                 counter = Counter(status)
-                async with open_listener(make_listener(counter.handle)) as port:
+                listener = make_listener(counter.handle)
+                async with open_listener(listener) as port:
                     raw = REQUEST * (MANY - 1) + REQUEST.replace(
                         b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
                     )
                     await test_downstream.exchange(port, raw)
                 self.assertEqual(counter.count, count)
+                reason = downstream.CloseReason.UNPRODUCTIVE
+                self.assertEqual(
+                    listener.closed_by_reason[reason], int(count < MANY)
+                )
 
     async def test_stalled_connections_give_way(self) -> None:
         for name, sent in (
@@ -176,6 +184,8 @@
                     )
                     received = await test_downstream.exchange(port, raw)
                     self.assertIn(b"HTTP/1.1 200", received)
+                reason = downstream.CloseReason.CROWDED
+                self.assertGreater(listener.closed_by_reason[reason], 0)
 
     async def test_disconnect_is_noticed_behind_a_request_sent_ahead(
         self,
