Read no prefix again while its records are confirmed

Cause: a call that takes 0.25 s counts as one that does not reach the store, so on a slow store all processes of a region may report so at once. Each follower then took its records for unconfirmed and read both prefixes. Change: only records without a recent confirmation are read again. Evidence: tests.test_shared_watches, with a test that fails on the code before; test_supervision and test_docs pass.

--- a/eelgrassgate/peering/shared_watches.py
+++ b/eelgrassgate/peering/shared_watches.py
@@ -219,7 +219,7 @@
             prefix=mirror.prefix,
             confirmed_ms=deadlines.to_ms(age_s),
         )
-        if not self._compute_turn().is_selected:
+        if age_s > compute_max_age_s(mirror):
             self._unconfirmed[mirror.prefix] = mirror
             # The store may have been away, and entries may have expired
             # meanwhile.
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -317,6 +317,25 @@
                 watches, [one.counts.watches_opened for one in followers]
             )
 
+    async def test_moment_in_which_no_process_reports_the_store(self) -> None:
+        """Guards against full reads of all processes when the store is slow.
+
+        A call that takes 0.25 s counts as one that does not reach the store.
+        """
+        async with run_fleet() as fleet:
+            await anyio.sleep(1.5)
+            reads = [one.counts.reads for one in fleet.stores]
+            has_store = False
+            for one in fleet.nodes:
+                sources: tuple[Any, ...] = (one.shared_watches, one.reports)
+                sources[0]._has_store = lambda: has_store
+                sources[1]._is_store_reachable = lambda: has_store
+            await anyio.sleep(1.0)
+            has_store = True
+            await anyio.sleep(1.0)
+            self.assertEqual(reads, [one.counts.reads for one in fleet.stores])
+            await fleet.wait_until_settled()
+
     async def test_entries_that_expired_in_an_outage(self) -> None:
         """Guards against the loss of endpoints whose entry is back in time.
 
