--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -12,8 +12,8 @@
 
 from bench import memory_load
 
-# A gateway takes about 60 MB at rest. 140 clients took 0.4 MB each before what
-# a connection may hold was bounded.
+# A gateway takes about 40 MB at rest. 140 clients took 70 MB more before what a
+# connection may hold was bounded.
 MEMORY_MB: Final = 100
 CLIENTS: Final = 140
 # Gives callers 160 connections; other listeners and files need the others.
