Accept fewer late requests and spread returns over the time callers wait

Cause: requests are accepted with an expected wait of up to 0.8 of the objective. Load reports are late, so many of them wait longer and are late. Refused callers return at random within 1.2 s after the expected wait, often within the same peak.

Change: the bound is half of the objective, and the time left until the deadline. Each gateway gives refused callers successive places, evenly spread over the later two thirds of the time in which callers return.

--- a/eelgrassgate/gateway/forwarding.py
+++ b/eelgrassgate/gateway/forwarding.py
@@ -146,6 +146,7 @@
         self._quarantine = quarantine
         self._metrics = metrics
         self._shutdown = shutdown
+        self._return_places = load_shedding.create_return_places()
 
     async def forward(
         self,
@@ -229,7 +230,11 @@
                 )
                 return
             retry_after_s = load_shedding.compute_retry_delay(
-                choice.wait_s, choice.limit_wait_s, route.objective_s
+                choice.wait_s,
+                choice.limit_wait_s,
+                route.objective_s,
+                deadlines.compute_remaining(call.deadline),
+                self._return_places,
             )
             if retry_after_s is not None and not progress.may_have_run:
                 await self._refuse(call, choice, retry_after_s, responder)
--- a/tests/load_peaks.py
+++ b/tests/load_peaks.py
@@ -32,7 +32,8 @@
 OBJECTIVE_S: Final = 0.3
 # Time from the start of a request to its first byte.
 FIRST_BYTE_DELAY_S: Final = 0.06
-# Callers wait at most a third of their timeout of 5 s and retry once.
+# Callers wait at most a third of their timeout and retry once.
+TIMEOUT_S: Final = 5.0
 MAX_RETRY_DELAY_S: Final = 1.67
 GATEWAY_COUNT: Final = 24
 # Events of a response, and how many arrive between two samples of its pace.
@@ -121,6 +122,10 @@
         self._queues: dict[str, list[Callable[[], None]]] = {
             name: [] for name in self._endpoints
         }
+        self._return_places = [
+            load_shedding.create_return_places(self._random.random)
+            for _ in range(GATEWAY_COUNT)
+        ]
         self._tables = [loads.create_loads() for _ in range(GATEWAY_COUNT)]
         self._placements = [
             self._make_placement(number) for number in range(GATEWAY_COUNT)
@@ -197,7 +202,11 @@
         choice = self._placements[gateway].choose_endpoint("engine")
         assert choice is not None
         retry_after_s = load_shedding.compute_retry_delay(
-            choice.wait_s, choice.limit_wait_s, OBJECTIVE_S, self._random.random
+            choice.wait_s,
+            choice.limit_wait_s,
+            OBJECTIVE_S,
+            TIMEOUT_S,
+            self._return_places[gateway],
         )
         if retry_after_s is not None:
             if is_retry:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Tests the decisions of gateways without a network."""
 
+import itertools
 from typing import Any
 from typing import Final
 import unittest
@@ -10,6 +11,7 @@
 from eelgrassgate.batches import scheduling
 from eelgrassgate.gateway import catalog
 from eelgrassgate.gateway import draining
+from eelgrassgate.gateway import load_shedding
 from eelgrassgate.gateway import placement as placement_lib
 from eelgrassgate.gateway import rate_share
 from eelgrassgate.gateway import rates as rates_lib
@@ -569,6 +571,53 @@
         self.assertGreater(used / 600, 3.0)
 
 
+class AdmissionTest(unittest.TestCase):
+    def decide(
+        self, wait_s: float, limit_wait_s: float = 0.0, remaining_s: float = 5.0
+    ) -> float | None:
+        return load_shedding.compute_retry_delay(
+            wait_s,
+            limit_wait_s,
+            0.3,
+            remaining_s,
+            load_shedding.create_return_places(),
+        )
+
+    def test_request_is_accepted_if_it_will_be_on_time(self) -> None:
+        for name, wait_s, limit_wait_s, remaining_s, is_accepted in (
+            ("no wait", 0.0, 0.0, 5.0, True),
+            ("one request ahead", 0.09, 0.0, 5.0, True),
+            ("two requests ahead", 0.18, 0.0, 5.0, False),
+            ("certain to miss its deadline", 0.09, 0.0, 0.05, False),
+            ("limited", 0.0, 0.1, 5.0, False),
+        ):
+            with self.subTest(name):
+                found = self.decide(wait_s, limit_wait_s, remaining_s)
+                self.assertEqual(found is None, is_accepted)
+
+    def test_refused_callers_return_at_different_times_that_they_obey(
+        self,
+    ) -> None:
+        """Callers that return together or in the same peak are refused again.
+
+        Callers ignore a delay of more than a third of the time they have left.
+        """
+        for remaining_s, until_s in ((5.0, 5.0), (60.0, 10.0)):
+            places = load_shedding.create_return_places()
+            delays = sorted(places.assign(0.2, remaining_s) for _ in range(20))
+            self.assertGreater(delays[0], 0.1 * until_s)
+            self.assertLess(delays[-1], until_s / 3.0)
+            gaps = [b - a for a, b in itertools.pairwise(delays)]
+            self.assertGreater(min(gaps), 0.001 * until_s)
+            self.assertLess(max(gaps), 0.03 * until_s)
+
+    def test_delay_is_at_least_the_expected_wait(self) -> None:
+        for wait_s, remaining_s in ((3.0, 5.0), (1.0, 0.1), (1.0, 5.0)):
+            found = self.decide(wait_s, remaining_s=remaining_s)
+            assert found is not None
+            self.assertGreaterEqual(found, wait_s)
+
+
 class PeakSimulationTest(unittest.TestCase):
     """Load peaks on 24 gateways; see `load_peaks`."""
 
@@ -589,6 +638,11 @@
         self.assertEqual(found.rejected, 0)
         self.assertGreater(found.on_time, 0.95 * found.requests)
 
+    def test_few_accepted_requests_are_late_beyond_capacity(self) -> None:
+        """Whoever is accepted and late delays those behind it."""
+        found = self.simulate(222.0, 18)
+        self.assertLess(found.late, 0.2 * found.requests)
+
     def test_peak_beyond_capacity(self) -> None:
         """The peak is four thirds of what the endpoints can start."""
         found = self.simulate(222.0, 18)
