--- a/eelgrassgate/gateway/endpoint_limits.py
+++ b/eelgrassgate/gateway/endpoint_limits.py
@@ -211,7 +211,7 @@
             cold.until = 0.0
             self.version += 1
             if service is not None:
-                _log_temperature(endpoint, None, "time")
+                _log_cold_change(endpoint, None, "time")
             return None
         return None if service is None else service.cold_per_s
 
@@ -311,7 +311,7 @@
         # requests as it takes.
         self._rights_by_endpoint.pop(endpoint, None)
         if self._get_service(endpoint) is not None:
-            _log_temperature(endpoint, self._get_cold_rate(endpoint), source)
+            _log_cold_change(endpoint, self._get_cold_rate(endpoint), source)
 
     def list_colds(self) -> dict[str, tuple[int, float]]:
         """Return versions and seconds left of being cold, for peers."""
@@ -543,7 +543,7 @@
                     self._rights_by_endpoint.pop(name, None)
 
 
-def _log_temperature(
+def _log_cold_change(
     endpoint: str, limit_per_s: float | None, source: str
 ) -> None:
     logs.log_message(
--- a/eelgrassgate/gateway/regions.py
+++ b/eelgrassgate/gateway/regions.py
@@ -62,7 +62,7 @@
         for route in routes
     ]
     restricted.extend(
-        (f"tenants/{one.name}", one.allowed_regions)
+        (f"workspaces/{one.name}", one.allowed_regions)
         for one in catalog.workspaces_by_name.values()
     )
     return {
--- a/eelgrassgate/peering/shared_watches.py
+++ b/eelgrassgate/peering/shared_watches.py
@@ -27,8 +27,9 @@
 from eelgrassgate.store import base
 from eelgrassgate.store import mirror as mirror_lib
 
-# How long a watcher holds a poll without news. Its own confirmations are news,
-# so this bounds only how long it takes to notice that a watcher is silent.
+# How long a watcher holds a poll without an update. Its own confirmations are
+# updates, so this bounds only how long it takes to notice that a watcher is
+# silent.
 HOLD_S: Final = 1.0
 # How much longer a response may take before the next watcher is asked.
 POLL_GRACE_S: Final = 0.3
@@ -74,7 +75,7 @@
     changed_revision: decoding.Count
 
 
-class News(msgspec.Struct, frozen=True, array_like=True):
+class EncodedUpdate(msgspec.Struct, frozen=True, array_like=True):
     """An update of one mirror; durations are those at `waited_s`.
 
     Attributes:
@@ -108,12 +109,12 @@
     Attributes:
         incarnation: That of the process that sends it.
         waited_s: Seconds since it received the poll.
-        news: The news.
+        updates: The updates.
     """
 
     incarnation: decoding.Count
     waited_s: decoding.Amount
-    news: tuple[News, ...]
+    updates: tuple[EncodedUpdate, ...]
 
 
 class _Change(msgspec.Struct, frozen=True, array_like=True):
@@ -280,7 +281,7 @@
             response = decoding.decode(_RESPONSE_DECODER, data)
             updates = {
                 one.prefix: _read_update(one, sent_at + response.waited_s)
-                for one in response.news
+                for one in response.updates
             }
         except (
             upstream.ExchangeError,
@@ -293,16 +294,19 @@
                 "mirror:poll_failed", peer=source.name, reason=reason
             )
             return False
-        for one in response.news:
+        for one in response.updates:
             if one.prefix in followed:
                 self._apply(one, updates[one.prefix], response.incarnation)
         return self._check_confirmed(source)
 
     def _apply(
-        self, news: News, update: mirror_lib.Update, incarnation: int
+        self,
+        encoded: EncodedUpdate,
+        update: mirror_lib.Update,
+        incarnation: int,
     ) -> None:
-        """Apply the news of one mirror."""
-        prefix = news.prefix
+        """Apply the update of one mirror."""
+        prefix = encoded.prefix
         mirror = self._following.get(prefix)
         if mirror is not None:
             if not mirror.apply_update(update):
@@ -316,7 +320,7 @@
             ):
                 del self._unconfirmed[prefix]
         self._positions_by_prefix[prefix] = Position(
-            prefix, incarnation, news.version, 0
+            prefix, incarnation, encoded.version, 0
         )
 
     def _check_confirmed(self, source: registry.Member) -> bool:
@@ -350,7 +354,7 @@
         incoming: downstream.IncomingRequest,
         responder: downstream.Responder,
     ) -> None:
-        """Respond to the poll of a peer once there is news for it."""
+        """Respond to the poll of a peer once there is an update for it."""
         received_at = deadlines.now()
         try:
             positions = decoding.decode(_POSITIONS_DECODER, incoming.body)
@@ -359,15 +363,15 @@
             return
         positions = positions[:MAX_PREFIXES]
         with anyio.move_on_after(HOLD_S):
-            while not any(map(self._has_news, positions)):
+            while not any(map(self._has_update, positions)):
                 await self._updated.wait()
         now = deadlines.now()
-        news = tuple(
-            self._build_news(one, now)
+        updates = tuple(
+            self._build_update(one, now)
             for one in positions
             if self._is_useful(one)
         )
-        response = Response(self._own.incarnation, now - received_at, news)
+        response = Response(self._own.incarnation, now - received_at, updates)
         await responder.reply(OK, (), _ENCODER.encode(response))
 
     def _is_useful(self, position: Position) -> bool:
@@ -380,7 +384,7 @@
             or mirror.revision >= position.changed_revision
         )
 
-    def _has_news(self, position: Position) -> bool:
+    def _has_update(self, position: Position) -> bool:
         """Return whether a mirror has changed since a position."""
         if not self._is_useful(position):
             return False
@@ -391,7 +395,7 @@
         """Return whether a position is one in a mirror of this process."""
         return position.incarnation == self._own.incarnation
 
-    def _build_news(self, position: Position, now: float) -> News:
+    def _build_update(self, position: Position, now: float) -> EncodedUpdate:
         mirror = self._mirrors_by_prefix[position.prefix]
         changes: tuple[base.Change, ...] | None = None
         if not mirror.is_connected:
@@ -402,7 +406,7 @@
         after = -1 if is_complete else position.version
         if changes is None:
             changes = mirror.list_all()
-        return News(
+        return EncodedUpdate(
             mirror.prefix,
             mirror.version,
             self._pack((mirror.prefix, after, mirror.version), changes),
@@ -444,11 +448,11 @@
     return (mirror.max_wait_s or 0.0) + mirror_lib.WATCH_MARGIN_S
 
 
-def _read_update(news: News, sent_at: float) -> mirror_lib.Update:
-    """Convert the news of a peer.
+def _read_update(encoded: EncodedUpdate, sent_at: float) -> mirror_lib.Update:
+    """Convert the update of a peer.
 
     Args:
-        news: The news.
+        encoded: The update.
         sent_at: Instant at which the peer sent it, or earlier.
 
     Raises:
@@ -457,27 +461,27 @@
     """
     decompressor = zlib.decompressobj()
     try:
-        encoded = decompressor.decompress(news.packed, MAX_CHANGES_BYTES)
+        unpacked = decompressor.decompress(encoded.packed, MAX_CHANGES_BYTES)
     except zlib.error as error:
         raise InvalidResponseError(str(error)) from error
     if not decompressor.eof:
         raise InvalidResponseError("changes are truncated or too large")
     changes = tuple(
         base.Change(one.key, one.value, one.revision)
-        for one in decoding.decode(_CHANGES_DECODER, encoded)
+        for one in decoding.decode(_CHANGES_DECODER, unpacked)
     )
-    if not all(one.key.startswith(news.prefix) for one in changes):
+    if not all(one.key.startswith(encoded.prefix) for one in changes):
         raise InvalidResponseError("a key of another prefix")
     now = deadlines.now()
     return mirror_lib.Update(
         changes,
-        news.is_complete,
-        news.revision,
-        news.changed_revision,
-        news.settled_revision,
-        news.is_connected,
-        now - news.connected_s,
-        min(now, sent_at) - news.age_s,
+        encoded.is_complete,
+        encoded.revision,
+        encoded.changed_revision,
+        encoded.settled_revision,
+        encoded.is_connected,
+        now - encoded.connected_s,
+        min(now, sent_at) - encoded.age_s,
     )
 
 
--- a/tests/test_capacity_learning.py
+++ b/tests/test_capacity_learning.py
@@ -11,25 +11,18 @@
 from eelgrassgate.peering import reports
 from tests import load_peaks
 from tests import test_peering
+from tests import test_quarantine
 
 FIRST_S: Final = 0.04
 INTERVAL_S: Final = 0.03
 ENDPOINTS: Final = tuple(f"e{one}" for one in range(6))
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class Fleet:
     """Processes that observe all endpoints and exchange reports."""
 
     def __init__(self, count: int) -> None:
-        self.clock = Clock()
+        self.clock = test_quarantine.Clock()
         self.random = random.Random(1)
         self.factors = dict.fromkeys(ENDPOINTS, 1.0)
         self.processes = [self.add_process() for _ in range(count)]
@@ -186,7 +179,7 @@
 
 class ObserverTest(unittest.TestCase):
     def test_time_that_a_caller_takes_to_read_does_not_count(self) -> None:
-        clock = Clock()
+        clock = test_quarantine.Clock()
         fleet = Fleet(1)
         fleet.clock = clock
         one = fleet.processes[0] = fleet.add_process()
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -131,7 +131,7 @@
             regions.log_unknown_regions(found, ["r1", "r2"])
         self.assertEqual(
             [one.kwargs["location"] for one in log.call_args_list],
-            ["routes/a", "tenants/w"],
+            ["routes/a", "workspaces/w"],
         )
         placement = test_decisions.make_placement(
             loads.create_loads(),
--- a/tests/test_shared_watches.py
+++ b/tests/test_shared_watches.py
@@ -289,12 +289,14 @@
         """Guards against own watches although one watcher is current."""
         async with run_fleet() as fleet:
             late = fleet.list_watchers()[0].shared_watches
-            build = late._build_news
+            build = late._build_update
 
-            def build_late(position: Any, now: float) -> shared_watches.News:
+            def build_late(
+                position: Any, now: float
+            ) -> shared_watches.EncodedUpdate:
                 return msgspec.structs.replace(build(position, now), age_s=10.0)
 
-            late._build_news = build_late  # type: ignore[method-assign]
+            late._build_update = build_late  # type: ignore[method-assign]
             for _ in range(50):
                 self.assertEqual(len(fleet.list_watchers()), 2)
                 await anyio.sleep(0.1)
@@ -459,12 +461,12 @@
                 await anyio.sleep(0.01)
 
 
-def make_news(
+def make_encoded(
     changes: Any, prefix: str = "p/", packed: bytes | None = None
-) -> shared_watches.News:
+) -> shared_watches.EncodedUpdate:
     if packed is None:
         packed = zlib.compress(msgspec.msgpack.encode(changes))
-    return shared_watches.News(
+    return shared_watches.EncodedUpdate(
         prefix, 1, packed, False, 9, 9, 9, True, 5.0, 0.5
     )
 
@@ -473,18 +475,18 @@
     def test_malformed_changes_are_refused(self) -> None:
         """Guards against state from a peer's error, and against its size."""
         good = [("p/a", b"1", 2), ("p/b", None, 3)]
-        update = shared_watches._read_update(make_news(good), 0.0)
+        update = shared_watches._read_update(make_encoded(good), 0.0)
         self.assertEqual([one.key for one in update.changes], ["p/a", "p/b"])
         whole = zlib.compress(msgspec.msgpack.encode(good))
         size = shared_watches.MAX_CHANGES_BYTES + 1
-        for name, news in (
-            ("a key of another prefix", make_news([("q/a", b"1", 2)])),
-            ("a negative revision", make_news([("p/a", b"1", -2)])),
-            ("a value of another type", make_news([("p/a", 7, 2)])),
-            ("not a list", make_news(7)),
-            ("not compressed", make_news((), packed=b"\x90")),
-            ("truncated", make_news((), packed=whole[:-1])),
-            ("too large", make_news((), packed=zlib.compress(b" " * size))),
+        for name, encoded in (
+            ("a key of another prefix", make_encoded([("q/a", b"1", 2)])),
+            ("a negative revision", make_encoded([("p/a", b"1", -2)])),
+            ("a value of another type", make_encoded([("p/a", 7, 2)])),
+            ("not a list", make_encoded(7)),
+            ("not compressed", make_encoded((), packed=b"\x90")),
+            ("truncated", make_encoded((), packed=whole[:-1])),
+            ("too large", make_encoded((), packed=zlib.compress(b" " * size))),
         ):
             with (
                 self.subTest(name),
@@ -492,7 +494,7 @@
                     (shared_watches.InvalidResponseError, msgspec.MsgspecError)
                 ),
             ):
-                shared_watches._read_update(news, 0.0)
+                shared_watches._read_update(encoded, 0.0)
 
     def test_response_that_is_read_late_confirms_nothing_newer(self) -> None:
         """Guards against a frozen process that trusts an old response."""
@@ -503,7 +505,7 @@
             ("a wait longer than since the poll", now + 60.0, now - 0.5),
         ):
             with self.subTest(name):
-                update = shared_watches._read_update(make_news(()), sent_at)
+                update = shared_watches._read_update(make_encoded(()), sent_at)
                 self.assertAlmostEqual(update.confirmed_at, expected, delta=0.2)
 
 
