Show that four gateways grant a workspace's burst several times

Cause: each gateway spends a bucket of its own until reports of the others arrive, and a level below minus one burst is raised to that, so the excess is forgiven and granted again.

--- a/review/common_2/site.py
+++ b/review/common_2/site.py
@@ -410,7 +410,7 @@
         self.zone = zone
         self.is_leaving = False
         self.runs: list[tuple[float, str]] = []
-        self._born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000)
         self._sequence = 0
 
     async def start(self) -> None:
@@ -429,7 +429,7 @@
             "state": "ready",
             "cold-remaining-ms": 0,
             "sequence": self._sequence,
-            "born": self._born,
+            "born": self.born,
         }
         store.put(f"servers/{self.name}", json.dumps(entry).encode())
 
@@ -538,7 +538,11 @@
     return os.urandom(8).hex()
 
 
-def build_config(routes: list[dict[str, Any]], version: int = 1) -> bytes:
+def build_config(
+    routes: list[dict[str, Any]],
+    version: int = 1,
+    quota: dict[str, float] | None = None,
+) -> bytes:
     """Encode a config with these routes and one tenant."""
     services = sorted({one["service"] for one in routes})
     return json.dumps(
@@ -573,7 +577,7 @@
                 "header-timeout-ms": 3000,
                 "idle-timeout-ms": 15000,
             },
-            "tenants": [{"name": TENANT, "api-keys": [KEY]}],
+            "tenants": [{"name": TENANT, "api-keys": [KEY]} | (quota or {})],
         }
     ).encode()
 
@@ -662,7 +666,11 @@
         self.store.delete(f"servers/{worker.name}")
 
     async def start(
-        self, process: Process, store: str = "", memory_mb: int = 300
+        self,
+        process: Process,
+        store: str = "",
+        memory_mb: int = 300,
+        file_descriptors: int = 4200,
     ) -> None:
         """Start a process with the command of the deploy file."""
         first, last = INTERNAL_PORTS
@@ -683,7 +691,7 @@
         lines += [
             "[limits]",
             f"memory-mb = {memory_mb}",
-            "file-descriptors = 4200",
+            f"file-descriptors = {file_descriptors}",
             "[bounds]",
             "grace-s = 8",
             "[platform]",
