--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,78 +1,34 @@
-"""A request that crashes workers comes again after a minute of rest."""
+"""A worker's entry goes while a front that others follow loses the store."""
 
 import asyncio
 import pathlib
+import random
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 from common_2 import site as site_lib  # noqa: E402
 
+ROUNDS = 10
+DRAIN_S = 3.0
+CUT_S = 4.4
+# Longer than `contact-ms`.
+CALM_S = 4.2
+# The callers rest from before the entry goes until the bound has passed.
+REST_S = DRAIN_S + 0.25
+CALLS_S = 1.2
+CALL_INTERVAL_S = 0.05
+CALLS_AT_ONCE = 4
 SERVICE = "huvo11a"
-WORKERS = 4
-DEADLY = b"deadly"
-# A worker is back after some seconds.
-RESTART_S = 3.0
-INTERVAL_S = 3.5
-FIRST = 3
-REST_S = 62.0
-SECOND = 5
-CONTACT_S = 4.0
-ALLOWED = 3
-SOUND_INTERVAL_S = 0.5
-
-
-class FragileWorker(site_lib.Worker):
-    """A worker that ends as soon as it begins to run the deadly request."""
-
-    crashes: list[float]
-    reached: list[float]
-    store: site_lib.Store
-    _server: asyncio.Server
-    _writers: set[asyncio.StreamWriter]
-    _tasks: set[asyncio.Task[None]]
-
-    async def start(self) -> None:
-        """Serve requests."""
-        self._writers = set()
-        self._tasks = set()
-        self._server = await site_lib.serve(
-            self.address, site_lib.WORKER_PORT, self.handle
-        )
-
-    async def handle(
-        self,
-        request: site_lib.Request,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Run one request, or end under it."""
-        self._writers.add(writer)
-        if request.body != DEADLY or not site_lib.has_trouble():
-            return await super().handle(request, reader, writer)
-        if request.headers.get("expect-instance") != self.name:
-            return await super().handle(request, reader, writer)
-        self.record_run(request)
-        self.reached.append(self.record.now())
-        self._server.close()
-        for one in self._writers:
-            one.transport.abort()
-        self.crashes.append(self.record.now())
-        self.record.write(f"{self.name} has crashed")
-        task = asyncio.create_task(self._restart())
-        self._tasks.add(task)
-        return False
-
-    async def _restart(self) -> None:
-        await asyncio.sleep(RESTART_S)
-        self.born = int(time.time() * 1000)
-        self._server = await site_lib.serve(
-            self.address, site_lib.WORKER_PORT, self.handle
-        )
-        self.write_entry(self.store)
-        self.record.write(f"{self.name} is back")
+PROCESSES = (
+    ("front-montego-1", "gateway"),
+    ("front-montego-2", "gateway"),
+    ("front-savanna-1", "gateway"),
+    ("store-montego-1", "batch"),
+    ("store-savanna-1", "batch"),
+)
+CUT_FRONT = "front-savanna-1"
 
 
 async def case(site: site_lib.Site) -> int:
@@ -80,84 +36,99 @@
     site.store.put(
         "op/config",
         site_lib.build_config(
-            [
-                {
-                    "prefix": "/lohu930/",
-                    "kind": "unsafe",
-                    "service": SERVICE,
-                    "max-attempts": 1,
-                }
-            ]
+            [{"prefix": "/lohu930/", "kind": "safe", "service": SERVICE}]
         ),
     )
-    crashes: list[float] = []
-    reached: list[float] = []
-    for number in range(WORKERS):
-        worker = FragileWorker(
-            site.record,
-            f"i-{number}",
-            SERVICE,
-            site.make_address(),
-            "montego",
+    # One of eight leaves at a time.
+    for number in range(4):
+        await add_worker(site, f"i-savanna-{number}", "savanna")
+    for number in range(3):
+        await add_worker(site, f"i-stays-{number}", "montego")
+    proxy = site_lib.Proxy((site.store_address, site_lib.STORE_PORT))
+    proxy_address = site.make_address()
+    await proxy.start(proxy_address, site_lib.STORE_PORT)
+    processes = []
+    for name, role in PROCESSES:
+        zone = name.split("-")[1]
+        process = site_lib.Process(
+            name, role, site.make_address(), zone, "cornwall"
         )
-        worker.crashes = crashes
-        worker.reached = reached
-        worker.store = site.store
-        await site.add_worker(worker)
-    gateways = []
-    for number in range(2):
-        gateway = site_lib.Process(
-            f"front-montego-{number + 1}",
-            "gateway",
-            site.make_address(),
-            "montego",
-            "cornwall",
+        store = ""
+        if name == CUT_FRONT:
+            store = f"{proxy_address}:{site_lib.STORE_PORT}"
+        await site.start(process, store)
+        processes.append(process)
+    for process in processes:
+        if process.role == "gateway":
+            await site.wait_ready(process)
+    callers = [one for one in processes if one.name.startswith("front-m")]
+    late = 0
+    for number in range(ROUNDS):
+        worker = await add_worker(site, f"i-montego-{number}", "montego")
+        # Ends anywhere between two renewals of the cut front's lease.
+        await asyncio.sleep(CALM_S + random.random() * 1.8)
+        for process in callers:
+            await ask(site, process)
+        late += await play_round(site, worker, proxy, callers)
+    site.record.write(f"{late} requests reached a worker too late")
+    return site_lib.BROKEN if late else site_lib.HELD
+
+
+async def add_worker(
+    site: site_lib.Site, name: str, zone: str
+) -> site_lib.Worker:
+    """Add a worker and return it."""
+    worker = site_lib.Worker(
+        site.record, name, SERVICE, site.make_address(), zone
+    )
+    await site.add_worker(worker)
+    return worker
+
+
+async def play_round(
+    site: site_lib.Site,
+    worker: site_lib.Worker,
+    proxy: site_lib.Proxy,
+    callers: list[site_lib.Process],
+) -> int:
+    """Return how many requests reached a leaving worker after the bound."""
+    if site_lib.has_trouble():
+        proxy.cut()
+        site.record.write(f"{CUT_FRONT} is cut off from the store")
+    worker.is_leaving = True
+    site.remove_entry(worker)
+    gone_at = site.record.now()
+    site.record.write(f"the store has removed the entry of {worker.name}")
+    await asyncio.sleep(REST_S)
+    until = site.record.now() + CALLS_S
+    while site.record.now() < until:
+        await asyncio.gather(
+            *(ask(site, process) for process in callers * CALLS_AT_ONCE)
         )
-        await site.start(gateway)
-        gateways.append(gateway)
-    for gateway in gateways:
-        await site.wait_ready(gateway)
-
-    async def ask(number: int, body: bytes) -> None:
-        gateway = gateways[number % len(gateways)]
-        request_id = site_lib.make_id()
-        kind = "deadly" if body == DEADLY else "sound"
-        site.record.write(f"{kind} {request_id} sent to {gateway.name}")
-        answer = await site_lib.call(
-            gateway.address,
-            "POST",
-            "/lohu930/2f",
-            site_lib.build_headers(request_id),
-            body,
+        await asyncio.sleep(CALL_INTERVAL_S)
+    await asyncio.sleep(max(0.0, gone_at + CUT_S - site.record.now()))
+    proxy.heal()
+    late = [at for at, _ in worker.runs if at > gone_at + DRAIN_S]
+    for at in late:
+        site.record.write(
+            f"BROKEN: {worker.name} got a request at {at:.3f},"
+            f" {at - gone_at:.3f} s after its entry was removed"
         )
-        site.record.write(f"answer {request_id} {answer.status}")
-
-    async def ask_soundly() -> None:
-        number = 0
-        while True:
-            number += 1
-            await ask(number, b"sound %d" % number)
-            await asyncio.sleep(SOUND_INTERVAL_S)
-
-    soundly = asyncio.create_task(ask_soundly())
-    await asyncio.sleep(CONTACT_S)
-    for number in range(FIRST):
-        await ask(number, DEADLY)
-        await asyncio.sleep(INTERVAL_S)
-    await asyncio.sleep(REST_S)
-    for number in range(SECOND):
-        await ask(number, DEADLY)
-        await asyncio.sleep(INTERVAL_S)
-    soundly.cancel()
-    if not site_lib.has_trouble():
-        return site_lib.HELD
-    counted_from = crashes[FIRST - 1] + CONTACT_S
-    late = [at for at in reached if at > counted_from]
-    site.record.write(
-        f"{len(late)} times the request reached a worker later than"
-        f" {CONTACT_S} s after it had crashed the third: {late}"
+    return len(late)
+
+
+async def ask(site: site_lib.Site, process: site_lib.Process) -> None:
+    """Send one request to a gateway."""
+    request_id = site_lib.make_id()
+    site.record.write(f"request {request_id} sent to {process.name}")
+    answer = await site_lib.call(
+        process.address,
+        "POST",
+        "/lohu930/2f",
+        site_lib.build_headers(request_id),
+        b"hello",
     )
-    return site_lib.BROKEN if len(late) > ALLOWED else site_lib.HELD
+    site.record.write(f"answer {request_id} {answer.status}")
 
 
 if __name__ == "__main__":
--- a/review/common_2/site.py
+++ b/review/common_2/site.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
@@ -35,6 +36,9 @@
 METRICS_PORT = 9090
 INTERNAL_PORTS = (7660, 7675)
 HEARTBEAT_S = 1.2
+HISTORY_S = 20.0
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 HOST = "ficu95.example"
 KEY = "2b9wu3fexd9dnn2ctnfz"
 TENANT = "huka270"
@@ -193,7 +197,11 @@
         """Start empty."""
         self.revision = 100
         self.items: dict[str, Item] = {}
-        self.events: list[tuple[int, dict[str, Any]]] = []
+        # Time, revision and event of each change of the last seconds.
+        self.events: collections.deque[tuple[float, int, dict[str, Any]]] = (
+            collections.deque()
+        )
+        self._forgotten_revision = 0
         self._changed = asyncio.Event()
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1000
@@ -232,15 +240,21 @@
                 one.get("lease", 0),
             )
             self.items[item.key] = item
-            self.events.append((self.revision, item.encode()))
+            self._add_event(item.encode())
         for key in deletes:
             if self.items.pop(key, None):
                 gone = {"key": key, "revision": self.revision, "deleted": True}
-                self.events.append((self.revision, gone))
+                self._add_event(gone)
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
         return self.revision
 
+    def _add_event(self, event: dict[str, Any]) -> None:
+        now = time.monotonic()
+        self.events.append((now, self.revision, event))
+        while self.events[0][0] < now - HISTORY_S:
+            _, self._forgotten_revision, _ = self.events.popleft()
+
     def _expire(self) -> None:
         now = time.monotonic()
         for lease, (until, _) in list(self._leases.items()):
@@ -282,7 +296,7 @@
         if path == "/kv-range":
             return 200, self._read_range(query["prefix"], query.get("after"))
         if path == "/kv-watch":
-            return 200, await self._watch(query)
+            return await self._watch(query)
         if path == "/kv-txn":
             return self._transact(json.loads(request.body))
         if path == "/kv-lease":
@@ -307,27 +321,42 @@
             for key in self.items
             if key.startswith(prefix) and key > (after or "")
         )
+        items: list[dict[str, Any]] = []
+        size = 0
+        for key in found[:PAGE_ITEMS]:
+            size += len(self.items[key].value)
+            if items and size > PAGE_BYTES:
+                break
+            items.append(self.items[key].encode())
         return {
-            "items": [self.items[key].encode() for key in found[:500]],
-            "more-pages": len(found) > 500,
+            "items": items,
+            "more-pages": len(found) > len(items),
             "store-revision": self.revision,
         }
 
-    async def _watch(self, query: dict[str, str]) -> dict[str, Any]:
+    async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
         after = int(query["after"])
         until = time.monotonic() + int(query["wait-ms"]) / 1e3
         while True:
-            found = [
-                event
-                for revision, event in self.events
-                if revision > after and event["key"].startswith(query["prefix"])
-            ]
+            if after < self._forgotten_revision:
+                return 410, {}
+            found = self._find_events(query["prefix"], after)
             left = until - time.monotonic()
             if found or left <= 0:
-                return {"events": found, "store-revision": self.revision}
+                return 200, {"events": found, "store-revision": self.revision}
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
 
+    def _find_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        found = []
+        for _, revision, event in reversed(self.events):
+            if revision <= after:
+                break
+            if event["key"].startswith(prefix):
+                found.append(event)
+        found.reverse()
+        return found
+
     def _transact(self, body: dict[str, Any]) -> tuple[int, Any]:
         current = []
         for one in body["precondition"]:
